--- /dev/null
+++ b/marigoldhoist/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line."""
+
+from marigoldhoist.cli import main
+
+main()
--- /dev/null
+++ b/marigoldhoist/cli/const.py
@@ -0,0 +1,18 @@
+"""Constants of the command line."""
+
+from typing import Final
+
+EXIT_REJECTED: Final = 1
+EXIT_USAGE: Final = 2
+EXIT_UNKNOWN: Final = 3
+
+EXIT_BY_OUTCOME: Final = {
+    'accepted': 0,
+    'rejected': EXIT_REJECTED,
+    'unknown': EXIT_UNKNOWN,
+}
+
+DEFAULT_URL: Final = 'http://127.0.0.1:7300'
+URL_VARIABLE: Final = 'MARIGOLDHOIST_URL'
+KEY_VARIABLE: Final = 'MARIGOLDHOIST_OPERATOR_KEY'
+CALL_TIMEOUT_S: Final = 15.0
--- /dev/null
+++ b/marigoldhoist/components/__init__.py
@@ -0,0 +1,1 @@
+"""One folder per component; each registers itself with the kernel."""
--- /dev/null
+++ b/marigoldhoist/components/billing/__init__.py
@@ -0,0 +1,12 @@
+"""One bill for each request, kept until it is on the log."""
+
+from marigoldhoist.components.billing.const import COMPONENT
+from marigoldhoist.components.billing.service import BillingService
+from marigoldhoist.components.platform_log.const import COMPONENT as LOG
+from marigoldhoist.core.kernel import Kernel, component
+
+
+@component(COMPONENT, needs=(LOG,))
+def set_up(kernel: Kernel) -> BillingService:
+    """Create the billing service."""
+    return BillingService(kernel)
--- /dev/null
+++ b/marigoldhoist/components/dispatch/const.py
@@ -0,0 +1,15 @@
+"""Constants of the dispatch component."""
+
+from typing import Final
+
+COMPONENT: Final = 'dispatch'
+
+CHAT_PATH: Final = '/v1/chat/completions'
+MAX_ATTEMPTS: Final = 3
+TOKENS_PER_COST: Final = 1000
+HTTP_SERVER_ERROR: Final = 500
+REQUEST_ID_HEADER: Final = 'X-Request-Id'
+DEADLINE_HEADER: Final = 'X-Deadline-Ms'
+VERSION_HEADER: Final = 'X-Served-Version'
+VERDICT_HEADER: Final = 'X-Verdict'
+JSON_TYPE: Final = 'application/json'
--- /dev/null
+++ b/marigoldhoist/components/entry/app.py
@@ -0,0 +1,188 @@
+"""The WSGI application that callers talk to."""
+
+import dataclasses
+import http.client
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from marigoldhoist.components.dispatch.const import (
+    CHAT_PATH,
+    JSON_TYPE,
+    REQUEST_ID_HEADER,
+    VERDICT_HEADER,
+    VERSION_HEADER,
+)
+from marigoldhoist.components.dispatch.models import Answer, CallerRequest
+from marigoldhoist.components.dispatch.service import DispatchService
+from marigoldhoist.components.entry.const import MODELS_PATH, SERVICE_PREFIX
+from marigoldhoist.components.entry.credentials import Credentials
+from marigoldhoist.components.entry.models import (
+    FailureBody,
+    FailureDetail,
+    ModelEntry,
+    ModelList,
+)
+from marigoldhoist.components.entry.reader import (
+    Environ,
+    bearer_key,
+    read_body,
+    read_chat,
+    read_service_call,
+    service_name,
+)
+from marigoldhoist.components.entry.settings import EntrySettings
+from marigoldhoist.components.table.models import WorkspaceRow
+from marigoldhoist.components.table.service import TableService
+from marigoldhoist.core.errors import ErrorCode, RequestFailure
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """What goes back to the caller; the body is sent as it comes."""
+
+    status: int
+    headers: dict[str, str]
+    body: Iterable[bytes]
+
+
+Outcome = Result[Reply, RequestFailure]
+
+
+class CallerApp:
+    """Checks credentials, reads requests and hands them to dispatch."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        table: TableService,
+        dispatch: DispatchService,
+    ) -> None:
+        self._settings = settings
+        self._table = table
+        self._dispatch = dispatch
+        self._credentials = Credentials()
+        self.is_draining = False
+        self.in_flight = 0
+        self._lock = threading.Lock()
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        self._count(1)
+        try:
+            outcome = self._admit(environ)
+            if isinstance(outcome, Err):
+                reply = failure_reply(outcome.err_value)
+            else:
+                reply = outcome.ok_value
+            start_response(_status_line(reply), list(reply.headers.items()))
+            yield from reply.body
+        finally:
+            self._count(-1)
+
+    def _count(self, change: int) -> None:
+        with self._lock:
+            self.in_flight += change
+
+    def _admit(self, environ: Environ) -> Outcome:
+        if self.is_draining:
+            return _refused(ErrorCode.DRAINING, 'this daemon is stopping')
+        state = self._table.state
+        if state.is_empty:
+            return _refused(ErrorCode.NO_TABLE, 'no table has been read yet')
+        name = self._credentials.workspace_of(bearer_key(environ), state)
+        workspace = state.workspace(name) if name else None
+        if name is None or workspace is None:
+            return _refused(ErrorCode.UNAUTHORIZED, 'unknown key')
+        body = read_body(environ, self._settings)
+        if isinstance(body, Err):
+            return body
+        return self._route(environ, name, workspace, body.ok_value)
+
+    def _route(
+        self,
+        environ: Environ,
+        name: str,
+        workspace: WorkspaceRow,
+        body: bytes,
+    ) -> Outcome:
+        path = environ['PATH_INFO']
+        if path == CHAT_PATH:
+            read = read_chat(environ, name, body)
+            return read.and_then(self._chat)
+        if path == MODELS_PATH:
+            return Ok(_model_list(workspace))
+        if path.startswith(SERVICE_PREFIX):
+            return self._call_service(environ, name, workspace, body)
+        return _refused(ErrorCode.BAD_REQUEST, f'no such path: {path}')
+
+    def _chat(self, request: CallerRequest) -> Outcome:
+        return self._dispatch.chat(request).map(
+            lambda answer: _answer_reply(request, answer)
+        )
+
+    def _call_service(
+        self,
+        environ: Environ,
+        name: str,
+        workspace: WorkspaceRow,
+        body: bytes,
+    ) -> Outcome:
+        service = service_name(environ['PATH_INFO'])
+        row = self._table.state.service(service)
+        if row is None or service not in workspace.services:
+            return _refused(ErrorCode.UNKNOWN_SERVICE, f'no {service!r}')
+        read = read_service_call(environ, name, row, body)
+        if isinstance(read, Err):
+            return read
+        answered = self._dispatch.call_service(read.ok_value)
+        return answered.map(lambda answer: _answer_reply(read.ok_value, answer))
+
+
+def failure_reply(failure: RequestFailure) -> Reply:
+    """Return the reply that tells a caller of a failure."""
+    detail = FailureDetail(
+        code=failure.code.value,
+        message=failure.message,
+        verdict=failure.verdict.value,
+    )
+    headers = {
+        'Content-Type': JSON_TYPE,
+        VERDICT_HEADER: failure.verdict.value,
+    }
+    if failure.retry_after_s is not None:
+        headers['Retry-After'] = str(max(1, round(failure.retry_after_s)))
+    body = msgspec.json.encode(FailureBody(detail))
+    headers['Content-Length'] = str(len(body))
+    return Reply(failure.http_status, headers, (body,))
+
+
+def _status_line(reply: Reply) -> str:
+    return f'{reply.status} {http.client.responses.get(reply.status, "")}'
+
+
+def _refused(code: ErrorCode, message: str) -> Err[RequestFailure]:
+    return Err(RequestFailure(code, message))
+
+
+def _answer_reply(request: CallerRequest, answer: Answer) -> Reply:
+    headers = {
+        'Content-Type': answer.content_type,
+        REQUEST_ID_HEADER: request.request_id,
+        VERSION_HEADER: answer.serving,
+    }
+    return Reply(answer.status, headers, answer.body)
+
+
+def _model_list(workspace: WorkspaceRow) -> Reply:
+    models = tuple(ModelEntry(name) for name in workspace.versions_by_model)
+    body = msgspec.json.encode(ModelList(models))
+    headers = {'Content-Type': JSON_TYPE, 'Content-Length': str(len(body))}
+    return Reply(200, headers, (body,))
--- /dev/null
+++ b/marigoldhoist/components/entry/const.py
@@ -0,0 +1,12 @@
+"""Constants of the entry component."""
+
+from typing import Final
+
+COMPONENT: Final = 'entry'
+
+SERVICE_PREFIX: Final = '/services/'
+MODELS_PATH: Final = '/v1/models'
+BEARER: Final = 'Bearer '
+DRAIN_POLL_S: Final = 0.05
+STOP_TIMEOUT_S: Final = 1.0
+MAX_REQUEST_ID_CHARS: Final = 128
--- /dev/null
+++ b/marigoldhoist/components/entry/reader.py
@@ -0,0 +1,137 @@
+"""Read a caller's HTTP request into a CallerRequest."""
+
+import dataclasses
+import uuid
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from marigoldhoist.components.dispatch.models import CallerRequest
+from marigoldhoist.components.entry.const import (
+    BEARER,
+    MAX_REQUEST_ID_CHARS,
+    SERVICE_PREFIX,
+)
+from marigoldhoist.components.entry.models import ChatBody
+from marigoldhoist.components.entry.settings import EntrySettings
+from marigoldhoist.components.table.models import ServiceRow
+from marigoldhoist.core.clock import SYSTEM_CLOCK
+from marigoldhoist.core.const import MS_PER_S
+from marigoldhoist.core.errors import ErrorCode, RequestFailure
+
+Environ = dict[str, Any]
+
+DEFAULT_DEADLINE_MS = 60_000
+
+
+def bearer_key(environ: Environ) -> str:
+    """Return the caller's key, empty where there is none."""
+    header: str = environ.get('HTTP_AUTHORIZATION', '')
+    return header.removeprefix(BEARER) if header.startswith(BEARER) else ''
+
+
+def read_body(
+    environ: Environ, settings: EntrySettings
+) -> Result[bytes, RequestFailure]:
+    """Read the whole body; a cut upload and an oversized one are refused."""
+    try:
+        length = int(environ.get('CONTENT_LENGTH') or 0)
+    except ValueError:
+        return _bad('Content-Length is not a number')
+    if length > settings.max_body_bytes:
+        return Err(
+            RequestFailure(
+                ErrorCode.BODY_TOO_LARGE,
+                f'body over {settings.max_body_bytes} bytes',
+            )
+        )
+    try:
+        body: bytes = environ['wsgi.input'].read(length) if length else b''
+    except OSError:
+        return _bad('body did not arrive in time')
+    if len(body) < length:
+        return _bad('body was cut short')
+    return Ok(body)
+
+
+def read_chat(
+    environ: Environ, workspace: str, body: bytes
+) -> Result[CallerRequest, RequestFailure]:
+    """Read a chat request."""
+    try:
+        chat = msgspec.json.decode(body, type=ChatBody)
+    except msgspec.MsgspecError as error:
+        return _bad(f'body: {error}')
+    return _deadline_ms(environ).and_then(
+        lambda deadline_ms: _with_id(
+            environ,
+            CallerRequest(
+                workspace=workspace,
+                request_id='',
+                target=chat.model,
+                body=body,
+                deadline_s=_deadline_s(deadline_ms),
+                session=environ.get('HTTP_X_SESSION', ''),
+                is_streamed=chat.stream,
+            ),
+        )
+    )
+
+
+def service_name(path: str) -> str:
+    """Return the plain service that a path names."""
+    return path.removeprefix(SERVICE_PREFIX).partition('/')[0]
+
+
+def read_service_call(
+    environ: Environ, workspace: str, row: ServiceRow, body: bytes
+) -> Result[CallerRequest, RequestFailure]:
+    """Read a call to a plain service."""
+    path: str = environ['PATH_INFO']
+    name = service_name(path)
+    inner = path.removeprefix(SERVICE_PREFIX + name) or '/'
+    query = environ.get('QUERY_STRING', '')
+    asked_once = environ.get('HTTP_X_NOT_REPEATABLE', '') == 'true'
+    listed = any(inner.startswith(item) for item in row.non_repeatable_paths)
+    request = CallerRequest(
+        workspace=workspace,
+        request_id='',
+        target=name,
+        body=body,
+        deadline_s=_deadline_s(row.timeout_ms),
+        is_repeatable=not (asked_once or listed),
+        method=environ['REQUEST_METHOD'],
+        path=f'{inner}?{query}' if query else inner,
+        content_type=environ.get('CONTENT_TYPE', 'application/json'),
+    )
+    return _with_id(environ, request)
+
+
+def _with_id(
+    environ: Environ, request: CallerRequest
+) -> Result[CallerRequest, RequestFailure]:
+    given: str = environ.get('HTTP_X_REQUEST_ID', '')
+    if len(given) > MAX_REQUEST_ID_CHARS or not given.isprintable():
+        return _bad('X-Request-Id is too long or not printable')
+    if not given and not request.is_repeatable:
+        return _bad('X-Request-Id is needed for a call that runs once')
+    request_id = given or uuid.uuid4().hex
+    return Ok(dataclasses.replace(request, request_id=request_id))
+
+
+def _deadline_ms(environ: Environ) -> Result[int, RequestFailure]:
+    given = environ.get('HTTP_X_DEADLINE_MS')
+    if given is None:
+        return Ok(DEFAULT_DEADLINE_MS)
+    if not given.isascii() or not given.isdigit() or not int(given):
+        return _bad('X-Deadline-Ms must be a whole number above 0')
+    return Ok(min(int(given), DEFAULT_DEADLINE_MS))
+
+
+def _deadline_s(deadline_ms: float) -> float:
+    return SYSTEM_CLOCK.monotonic_s() + deadline_ms / MS_PER_S
+
+
+def _bad(message: str) -> Err[RequestFailure]:
+    return Err(RequestFailure(ErrorCode.BAD_REQUEST, message))
--- /dev/null
+++ b/marigoldhoist/components/entry/service.py
@@ -0,0 +1,60 @@
+"""Serve callers over HTTP until the daemon stops."""
+
+import time
+
+from cheroot import wsgi
+
+from marigoldhoist.components.dispatch.const import COMPONENT as DISPATCH
+from marigoldhoist.components.dispatch.service import DispatchService
+from marigoldhoist.components.entry.app import CallerApp
+from marigoldhoist.components.entry.const import DRAIN_POLL_S, STOP_TIMEOUT_S
+from marigoldhoist.components.entry.settings import EntrySettings
+from marigoldhoist.components.table.const import COMPONENT as TABLE
+from marigoldhoist.components.table.service import TableService
+from marigoldhoist.core.identity import DaemonSettings
+from marigoldhoist.core.kernel import BaseService, Kernel
+
+
+class EntryService(BaseService):
+    """The callers' port."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._settings = kernel.settings.section(EntrySettings)
+        self._app = CallerApp(
+            self._settings,
+            kernel.find(TABLE, TableService),
+            kernel.find(DISPATCH, DispatchService),
+        )
+        address = kernel.settings.section(DaemonSettings).address
+        self._server = wsgi.Server(
+            (address, self._settings.port),
+            self._app,
+            numthreads=self._settings.threads,
+            timeout=self._settings.socket_timeout_s,
+            request_queue_size=self._settings.threads,
+        )
+        self._server.shutdown_timeout = STOP_TIMEOUT_S
+        self._server.max_request_header_size = self._settings.max_header_bytes
+        self._server.max_request_body_size = self._settings.max_body_bytes
+
+    def ready(self) -> None:
+        """Accept callers, now that every component is started."""
+        self._server.prepare()
+        self._kernel.spawn('entry', self._server.serve)
+
+    def drain(self) -> None:
+        """Refuse new work, then wait for the answers under way."""
+        time.sleep(self._settings.balancer_grace_s)
+        self._app.is_draining = True
+        deadline_s = time.monotonic() + self._settings.drain_timeout_s
+        while self._is_busy and time.monotonic() < deadline_s:
+            time.sleep(DRAIN_POLL_S)
+
+    def stop(self) -> None:
+        """Close the callers' port."""
+        self._server.stop()
+
+    @property
+    def _is_busy(self) -> bool:
+        return self._app.in_flight > 0
--- /dev/null
+++ b/marigoldhoist/components/entry/settings.py
@@ -0,0 +1,24 @@
+"""Settings of the entry component."""
+
+from typing import Annotated
+
+import msgspec
+
+from marigoldhoist.core.identity import Port, Seconds
+from marigoldhoist.core.settings import settings_section
+
+Count = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+Bytes = Annotated[int, msgspec.Meta(ge=1024, le=1 << 30)]
+
+
+@settings_section('entry')
+class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The callers' port and the bounds on what they may send."""
+
+    port: Port = 7100
+    threads: Count = 64
+    max_header_bytes: Bytes = 32_768
+    max_body_bytes: Bytes = 4_194_304
+    socket_timeout_s: Annotated[int, msgspec.Meta(ge=1, le=600)] = 10
+    balancer_grace_s: Seconds = 1.0
+    drain_timeout_s: Seconds = 60.0
--- /dev/null
+++ b/marigoldhoist/components/operator/models.py
@@ -0,0 +1,42 @@
+"""Answers to operators, as they cross the wire."""
+
+import msgspec
+
+from marigoldhoist.components.table.models import AnyRow
+
+
+class Status(msgspec.Struct, frozen=True):
+    """One daemon at a glance."""
+
+    host: str
+    failure_domain: str
+    version: str
+    table_revision: int
+    next_offset_by_stream: dict[str, int]
+    peers: tuple[str, ...]
+    unshipped_bills: int
+    is_ready: bool
+
+
+class ShownRow(msgspec.Struct, frozen=True):
+    """A row of the table and the revision to name when changing it."""
+
+    key: str
+    revision: int
+    row: AnyRow
+
+
+class ShownTable(msgspec.Struct, frozen=True):
+    """The table in force."""
+
+    revision: int
+    rows: tuple[ShownRow, ...]
+
+
+class ChangeOutcome(msgspec.Struct, frozen=True):
+    """What became of a change: accepted, rejected or unknown."""
+
+    outcome: str
+    offset: int | None = None
+    reason: str = ''
+    winner: int | None = None
--- /dev/null
+++ b/marigoldhoist/components/operator/service.py
@@ -0,0 +1,132 @@
+"""Serve operators over HTTP until the daemon stops."""
+
+import msgspec
+from cheroot import wsgi
+from result import Ok
+
+from marigoldhoist import __version__
+from marigoldhoist.components.billing.const import COMPONENT as BILLING
+from marigoldhoist.components.billing.service import BillingService
+from marigoldhoist.components.operator.app import (
+    UNAVAILABLE,
+    OperatorApp,
+    Page,
+    json_page,
+)
+from marigoldhoist.components.operator.const import (
+    MAX_BODY_BYTES,
+    STOP_TIMEOUT_S,
+    THREADS,
+)
+from marigoldhoist.components.operator.models import (
+    ChangeOutcome,
+    ShownRow,
+    ShownTable,
+    Status,
+)
+from marigoldhoist.components.operator.settings import OperatorSettings
+from marigoldhoist.components.peers.const import COMPONENT as PEERS
+from marigoldhoist.components.peers.service import PeerService
+from marigoldhoist.components.platform_log.const import COMPONENT as LOG
+from marigoldhoist.components.platform_log.service import LogService
+from marigoldhoist.components.table.const import COMPONENT as TABLE
+from marigoldhoist.components.table.errors import ChangeRejected
+from marigoldhoist.components.table.models import TableChange
+from marigoldhoist.components.table.service import TableService
+from marigoldhoist.core.identity import DaemonSettings
+from marigoldhoist.core.kernel import BaseService, Kernel
+
+
+class OperatorService(BaseService):
+    """The operators' port."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._daemon = kernel.settings.section(DaemonSettings)
+        settings = kernel.settings.section(OperatorSettings)
+        self._log = kernel.find(LOG, LogService)
+        self._table = kernel.find(TABLE, TableService)
+        self._peers = kernel.find(PEERS, PeerService)
+        self._billing = kernel.find(BILLING, BillingService)
+        self.app = OperatorApp(settings)
+        self._add_routes()
+        self._server = wsgi.Server(
+            (self._daemon.address, settings.port), self.app, numthreads=THREADS
+        )
+        self._server.shutdown_timeout = STOP_TIMEOUT_S
+        self._server.max_request_body_size = MAX_BODY_BYTES
+
+    def ready(self) -> None:
+        """Accept operators, now that every component is started."""
+        self._server.prepare()
+        self._kernel.spawn('operator', self._server.serve)
+
+    def stop(self) -> None:
+        """Close the operators' port."""
+        self._server.stop()
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        return not (
+            self._table.state.is_empty or self._kernel.draining.is_set()
+        )
+
+    def _add_routes(self) -> None:
+        self.app.add('GET /live', self._show_live, is_open=True)
+        self.app.add('GET /ready', self._show_ready, is_open=True)
+        self.app.add('GET /status', self._show_status)
+        self.app.add('GET /table', self._show_table)
+        self.app.add('POST /table', self._change_table)
+        self.app.add('GET /audit', self._show_audit)
+
+    def _show_live(self, _body: bytes) -> Page:
+        return json_page({'live': True})
+
+    def _show_ready(self, _body: bytes) -> Page:
+        if self.is_ready:
+            return json_page({'ready': True})
+        return json_page({'ready': False}, UNAVAILABLE)
+
+    def _show_status(self, _body: bytes) -> Page:
+        return json_page(
+            Status(
+                host=self._daemon.host,
+                failure_domain=self._daemon.failure_domain,
+                version=__version__,
+                table_revision=self._table.state.revision,
+                next_offset_by_stream={
+                    stream: feed.next_offset
+                    for stream, feed in self._log.feeds_by_stream.items()
+                },
+                peers=tuple(peer.host for peer in self._peers.live()),
+                unshipped_bills=self._billing.unshipped,
+                is_ready=self.is_ready,
+            )
+        )
+
+    def _show_table(self, _body: bytes) -> Page:
+        state = self._table.state
+        rows = tuple(
+            ShownRow(key, stored.revision, stored.row)
+            for key, stored in sorted(state.rows_by_key.items())
+        )
+        return json_page(ShownTable(state.revision, rows))
+
+    def _change_table(self, body: bytes) -> Page:
+        change = msgspec.json.decode(body, type=TableChange)
+        submitted = self._table.submit(change)
+        if isinstance(submitted, Ok):
+            offset = submitted.ok_value.offset
+            return json_page(ChangeOutcome('accepted', offset))
+        failure = submitted.err_value
+        if isinstance(failure, ChangeRejected):
+            return json_page(
+                ChangeOutcome(
+                    'rejected', reason=failure.reason, winner=failure.winner
+                )
+            )
+        return json_page(ChangeOutcome('unknown', reason=failure.reason))
+
+    def _show_audit(self, _body: bytes) -> Page:
+        return json_page(list(self._table.fold.audit))
--- /dev/null
+++ b/marigoldhoist/components/peers/models.py
@@ -0,0 +1,17 @@
+"""Messages of the peers component itself."""
+
+import msgspec
+
+
+class Hello(msgspec.Struct, frozen=True):
+    """First message each way: who speaks, and fresh random bytes."""
+
+    host: str
+    failure_domain: str
+    nonce: bytes
+
+
+class Heartbeat(msgspec.Struct, frozen=True):
+    """Sent at a fixed interval; the other end answers each."""
+
+    sent_ms: int
--- /dev/null
+++ b/marigoldhoist/components/platform_log/__init__.py
@@ -0,0 +1,11 @@
+"""The platform's append-only log: read it, write it, follow it."""
+
+from marigoldhoist.components.platform_log.const import COMPONENT
+from marigoldhoist.components.platform_log.service import LogService
+from marigoldhoist.core.kernel import Kernel, component
+
+
+@component(COMPONENT)
+def set_up(kernel: Kernel) -> LogService:
+    """Create the log service."""
+    return LogService(kernel)
--- /dev/null
+++ b/marigoldhoist/components/platform_log/client.py
@@ -0,0 +1,103 @@
+"""Call the log service over HTTP."""
+
+import dataclasses
+from typing import Generic, TypeVar
+
+import msgspec
+import urllib3
+
+from marigoldhoist.components.platform_log.const import (
+    READ_LIMIT_RECORDS,
+    READ_TIMEOUT_MARGIN_S,
+)
+from marigoldhoist.components.platform_log.errors import (
+    LogRefusedError,
+    LogUnavailableError,
+)
+from marigoldhoist.components.platform_log.models import (
+    AppendReply,
+    AppendRequest,
+    ReadReply,
+    Record,
+)
+from marigoldhoist.components.platform_log.settings import LogSettings
+
+HTTP_OK = 200
+HTTP_SERVER_ERROR = 500
+
+ReplyT = TypeVar('ReplyT', bound=msgspec.Struct)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplyCall(Generic[ReplyT]):
+    """The type of a call's answer and the time allowed for it in seconds."""
+
+    reply_type: type[ReplyT]
+    timeout_s: float
+
+    def decode(self, body: bytes) -> ReplyT:
+        """Decode an answer; LogUnavailableError where it is garbled."""
+        try:
+            return msgspec.json.decode(body, type=self.reply_type)
+        except msgspec.MsgspecError as error:
+            raise LogUnavailableError(f'garbled answer: {error}') from error
+
+
+class LogClient:
+    """Read and append; every failure is one of two errors."""
+
+    def __init__(self, settings: LogSettings) -> None:
+        self._settings = settings
+        self._pool = urllib3.PoolManager(num_pools=4, maxsize=8, retries=False)
+
+    def read(self, stream: str, offset: int, wait_s: float = 0) -> ReadReply:
+        """Read entries from offset on; wait up to wait_s for the first.
+
+        Raises LogUnavailableError or LogRefusedError.
+        """
+        path = f'/streams/{stream}/records'
+        query = f'from={offset}&limit={READ_LIMIT_RECORDS}&wait_s={wait_s}'
+        return self._call(
+            'GET',
+            f'{path}?{query}',
+            None,
+            ReplyCall(ReadReply, wait_s + READ_TIMEOUT_MARGIN_S),
+        )
+
+    def append(self, stream: str, records: tuple[Record, ...]) -> AppendReply:
+        """Append records in order.
+
+        Raises LogUnavailableError where the records may have been taken,
+        LogRefusedError where they were not.
+        """
+        body = msgspec.json.encode(AppendRequest(records))
+        return self._call(
+            'POST',
+            f'/streams/{stream}/records',
+            body,
+            ReplyCall(AppendReply, self._settings.append_timeout_s),
+        )
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        call: ReplyCall[ReplyT],
+    ) -> ReplyT:
+        timeout = urllib3.Timeout(
+            connect=self._settings.connect_timeout_s, read=call.timeout_s
+        )
+        try:
+            reply = self._pool.request(
+                method, self._settings.url + path, body=body, timeout=timeout
+            )
+        except urllib3.exceptions.NewConnectionError as refused:
+            raise LogRefusedError(str(refused)) from refused
+        except urllib3.exceptions.HTTPError as error:
+            raise LogUnavailableError(str(error)) from error
+        if reply.status >= HTTP_SERVER_ERROR:
+            raise LogUnavailableError(f'log answered {reply.status}')
+        if reply.status != HTTP_OK:
+            raise LogRefusedError(f'log answered {reply.status}')
+        return call.decode(reply.data)
--- /dev/null
+++ b/marigoldhoist/components/platform_log/service.py
@@ -0,0 +1,59 @@
+"""The log service: one feed per followed stream, and appends."""
+
+from functools import partial
+
+from result import Err, Ok, Result
+
+from marigoldhoist.components.platform_log.client import LogClient
+from marigoldhoist.components.platform_log.const import (
+    FOLLOWED_STREAMS,
+    RETRY_PAUSE_S,
+)
+from marigoldhoist.components.platform_log.errors import (
+    AppendUnknown,
+    LogRefusedError,
+    LogUnavailableError,
+)
+from marigoldhoist.components.platform_log.feed import Feed
+from marigoldhoist.components.platform_log.follower import Follower
+from marigoldhoist.components.platform_log.models import Record
+from marigoldhoist.components.platform_log.settings import LogSettings
+from marigoldhoist.core.clock import SYSTEM_CLOCK
+from marigoldhoist.core.kernel import BaseService, Kernel
+
+
+class LogService(BaseService):
+    """Feeds of the followed streams, and appends that retry by record id."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._settings = kernel.settings.section(LogSettings)
+        self._client = LogClient(self._settings)
+        self.feeds_by_stream = {
+            stream: Feed(stream) for stream in FOLLOWED_STREAMS
+        }
+        self.followers_by_stream = {
+            stream: Follower(kernel, self._client, feed)
+            for stream, feed in self.feeds_by_stream.items()
+        }
+
+    def ready(self) -> None:
+        """Start reading, now that every fold is added."""
+        for stream, follower in self.followers_by_stream.items():
+            work = partial(follower.run, self._settings.long_poll_s)
+            self._kernel.spawn(f'follow-{stream}', work)
+
+    def append(
+        self, stream: str, records: tuple[Record, ...], timeout_s: float
+    ) -> Result[tuple[int, ...], AppendUnknown]:
+        """Append, sending the same ids again until answered or out of time."""
+        deadline_s = SYSTEM_CLOCK.monotonic_s() + timeout_s
+        while True:
+            try:
+                reply = self._client.append(stream, records)
+            except (LogUnavailableError, LogRefusedError) as error:
+                if SYSTEM_CLOCK.monotonic_s() + RETRY_PAUSE_S >= deadline_s:
+                    return Err(AppendUnknown(str(error)))
+                self._kernel.stopping.wait(RETRY_PAUSE_S)
+            else:
+                return Ok(reply.offsets)
--- /dev/null
+++ b/marigoldhoist/components/relay/__init__.py
@@ -0,0 +1,13 @@
+"""Pass log entries between daemons, so that a cut-off one keeps up."""
+
+from marigoldhoist.components.peers.const import COMPONENT as PEERS
+from marigoldhoist.components.platform_log.const import COMPONENT as LOG
+from marigoldhoist.components.relay.const import COMPONENT
+from marigoldhoist.components.relay.service import RelayService
+from marigoldhoist.core.kernel import Kernel, component
+
+
+@component(COMPONENT, needs=(LOG, PEERS))
+def set_up(kernel: Kernel) -> RelayService:
+    """Create the relay service."""
+    return RelayService(kernel)
--- /dev/null
+++ b/marigoldhoist/components/routing/service.py
@@ -0,0 +1,63 @@
+"""The routing service."""
+
+import random
+from collections.abc import Container
+
+from result import Err, Ok, Result
+
+from marigoldhoist.components.routing.replicas import pick_replica
+from marigoldhoist.components.routing.versions import (
+    pick_by_weight,
+    usable_weights,
+)
+from marigoldhoist.components.table.const import COMPONENT as TABLE
+from marigoldhoist.components.table.service import TableService
+from marigoldhoist.components.upstreams.const import COMPONENT as UPSTREAMS
+from marigoldhoist.components.upstreams.models import Replica
+from marigoldhoist.components.upstreams.service import UpstreamService
+from marigoldhoist.core.errors import ErrorCode, RequestFailure
+from marigoldhoist.core.identity import DaemonSettings
+from marigoldhoist.core.kernel import BaseService, Kernel
+
+
+class RoutingService(BaseService):
+    """Chooses versions by the table and replicas by load."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._domain = kernel.settings.section(DaemonSettings).failure_domain
+        self._table = kernel.find(TABLE, TableService)
+        self._upstreams = kernel.find(UPSTREAMS, UpstreamService)
+        self._rng = random.Random()
+
+    def choose_version(
+        self, workspace: str, model: str, key: str
+    ) -> Result[str, RequestFailure]:
+        """Choose a version of the model; the same key gives the same one."""
+        weights = usable_weights(self._table.state, workspace, model)
+        if not weights:
+            return Err(
+                RequestFailure(
+                    ErrorCode.NO_VERSION, f'no version of {model} takes work'
+                )
+            )
+        return Ok(pick_by_weight(weights, key))
+
+    def choose_replica(
+        self, serving: str, tried: Container[str] = ()
+    ) -> Result[Replica, RequestFailure]:
+        """Choose a replica that serves the name and was not tried yet."""
+        replicas = [
+            replica
+            for replica in self._upstreams.replicas_serving(serving)
+            if replica.host not in tried
+        ]
+        replica = pick_replica(replicas, self._domain, self._rng)
+        if replica is None:
+            return Err(
+                RequestFailure(
+                    ErrorCode.NO_REPLICA,
+                    f'no replica serves {serving}',
+                    retry_after_s=1,
+                )
+            )
+        return Ok(replica)
--- /dev/null
+++ b/marigoldhoist/components/table/__init__.py
@@ -0,0 +1,12 @@
+"""The operators' table: rows, changes and their deterministic fold."""
+
+from marigoldhoist.components.platform_log.const import COMPONENT as LOG
+from marigoldhoist.components.table.const import COMPONENT
+from marigoldhoist.components.table.service import TableService
+from marigoldhoist.core.kernel import Kernel, component
+
+
+@component(COMPONENT, needs=(LOG,))
+def set_up(kernel: Kernel) -> TableService:
+    """Create the table service."""
+    return TableService(kernel)
--- /dev/null
+++ b/marigoldhoist/components/table/fold.py
@@ -0,0 +1,130 @@
+"""Fold table changes from the log into the table.
+
+Every daemon folds the same entries in the same order and so accepts and
+rejects the same changes.
+"""
+
+import collections
+import dataclasses
+from typing import Literal
+
+import msgspec
+
+from marigoldhoist.components.platform_log.models import LogEntry
+from marigoldhoist.components.table.const import (
+    AUDIT_ENTRIES,
+    CHANGE_KIND,
+    NO_REVISION,
+)
+from marigoldhoist.components.table.errors import InvalidTableError
+from marigoldhoist.components.table.models import RowEdit, TableChange
+from marigoldhoist.components.table.state import StoredRow, TableState
+from marigoldhoist.components.table.validation import check_table, decode_row
+
+Outcome = Literal['accepted', 'rejected']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AuditEntry:
+    """What became of one change."""
+
+    offset: int
+    time_ms: int
+    record_id: str
+    author: str
+    keys: tuple[str, ...]
+    outcome: Outcome
+    reason: str = ''
+    winner: int | None = None
+
+
+class LostRaceError(InvalidTableError):
+    """Another change wrote the row after this change's author read it."""
+
+    def __init__(self, key: str, winner: int) -> None:
+        super().__init__(f'{key} was changed at offset {winner}')
+        self.winner = winner
+
+
+class TableFold:
+    """The table, and the audit trail of the changes folded into it."""
+
+    def __init__(self) -> None:
+        self.state = TableState()
+        self.audit: collections.deque[AuditEntry] = collections.deque(
+            maxlen=AUDIT_ENTRIES
+        )
+        self._audit_by_record_id: dict[str, AuditEntry] = {}
+
+    def apply(self, entry: LogEntry) -> None:
+        """Fold one entry; a second copy of a record changes nothing."""
+        if entry.record.kind != CHANGE_KIND:
+            return
+        if entry.record.id in self._audit_by_record_id:
+            return
+        self._record(self._judge(entry))
+
+    def outcome_of(self, record_id: str) -> AuditEntry | None:
+        """Return what became of a change, or none if it was not folded."""
+        return self._audit_by_record_id.get(record_id)
+
+    def _judge(self, entry: LogEntry) -> AuditEntry:
+        try:
+            change = msgspec.json.decode(entry.record.body, type=TableChange)
+        except msgspec.MsgspecError as error:
+            return _audit(entry, None, str(error))
+        try:
+            self.state = changed_state(self.state, change, entry.offset)
+        except LostRaceError as lost:
+            return _audit(entry, change, str(lost), lost.winner)
+        except InvalidTableError as error:
+            return _audit(entry, change, str(error))
+        return _audit(entry, change)
+
+    def _record(self, audited: AuditEntry) -> None:
+        if len(self.audit) == AUDIT_ENTRIES:
+            expired = self.audit[0].record_id
+            self._audit_by_record_id.pop(expired, None)
+        self.audit.append(audited)
+        self._audit_by_record_id[audited.record_id] = audited
+
+
+def changed_state(
+    state: TableState, change: TableChange, offset: int
+) -> TableState:
+    """Return the table after a change; InvalidTableError if it is refused."""
+    rows_by_key = dict(state.rows_by_key)
+    for edit in change.edits:
+        _check_base(rows_by_key.get(edit.key), edit)
+        row = decode_row(edit)
+        if row is None:
+            rows_by_key.pop(edit.key, None)
+        else:
+            rows_by_key[edit.key] = StoredRow(offset, row)
+    check_table(rows_by_key)
+    return TableState(offset, rows_by_key)
+
+
+def _check_base(stored: StoredRow | None, edit: RowEdit) -> None:
+    current = stored.revision if stored else NO_REVISION
+    if edit.base_revision != current:
+        raise LostRaceError(edit.key, current)
+
+
+def _audit(
+    entry: LogEntry,
+    change: TableChange | None,
+    reason: str = '',
+    winner: int | None = None,
+) -> AuditEntry:
+    edits = change.edits if change else ()
+    return AuditEntry(
+        offset=entry.offset,
+        time_ms=entry.time_ms,
+        record_id=entry.record.id,
+        author=change.author if change else '',
+        keys=tuple(edit.key for edit in edits),
+        outcome='rejected' if reason else 'accepted',
+        reason=reason,
+        winner=winner,
+    )
--- /dev/null
+++ b/marigoldhoist/components/table/models.py
@@ -0,0 +1,130 @@
+"""Rows and changes of the table, as operators write them.
+
+A row's key is `kind/name`; a version's name is `model/version`, a session's
+`workspace/session`.
+"""
+
+import enum
+from typing import Annotated
+
+import msgspec
+
+from marigoldhoist.components.table.const import (
+    EVERY_VERSION,
+    MODEL,
+    NO_REVISION,
+    SERVICE,
+    SESSION,
+    VERSION,
+    WORKSPACE,
+)
+from marigoldhoist.core.identity import Name
+
+Share = Annotated[int, msgspec.Meta(ge=0, le=10_000)]
+Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Amount = Annotated[float, msgspec.Meta(ge=0)]
+Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=86_400_000)]
+Digest = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
+RowKey = Annotated[str, msgspec.Meta(pattern='^[a-z]+/.{1,200}$')]
+
+
+class VersionState(enum.Enum):
+    """Whether a version takes work."""
+
+    LIVE = 'live'
+    HELD = 'held'
+    WITHDRAWN = 'withdrawn'
+
+
+class Row(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of all rows."""
+
+
+class LimitColumns(Row, frozen=True):
+    """Limits of a workspace; zero means none."""
+
+    requests_per_s: Amount = 0
+    concurrent: Annotated[int, msgspec.Meta(ge=0)] = 0
+    tokens_per_s: Amount = 0
+    spend_per_day: Amount = 0
+
+
+class WorkspaceRow(Row, frozen=True):
+    """Who may use what: key digests are SHA-256 in hexadecimal."""
+
+    key_digests: tuple[Digest, ...]
+    versions_by_model: dict[str, tuple[str, ...]] = {}
+    services: tuple[str, ...] = ()
+    quality_target: Fraction = 0
+    first_token_ms: Milliseconds = 30_000
+    limits: LimitColumns = LimitColumns()
+
+    def allows(self, model: str, version: str) -> bool:
+        """Tell whether the workspace may use the version."""
+        allowed = self.versions_by_model.get(model, ())
+        return EVERY_VERSION in allowed or version in allowed
+
+
+class ModelRow(Row, frozen=True):
+    """How a model's traffic is shared between its versions.
+
+    A cascade lists versions from cheap to costly; empty means none.
+    """
+
+    weights_by_version: dict[str, Share]
+    cascade: tuple[str, ...] = ()
+
+
+class VersionRow(Row, frozen=True):
+    """One version of a model; cost is for 1,000 tokens."""
+
+    state: VersionState = VersionState.LIVE
+    cost_per_1k_tokens: Amount = 1
+    successor: str = ''
+
+
+class SessionRow(Row, frozen=True):
+    """A session that an operator has put on a version."""
+
+    model: Name
+    version: Name
+
+
+class ServiceRow(Row, frozen=True):
+    """A plain service; calls to the listed paths may not be repeated."""
+
+    non_repeatable_paths: tuple[str, ...] = ()
+    timeout_ms: Milliseconds = 10_000
+
+
+AnyRow = WorkspaceRow | ModelRow | VersionRow | SessionRow | ServiceRow
+
+row_type_by_kind: dict[str, type[AnyRow]] = {
+    WORKSPACE: WorkspaceRow,
+    MODEL: ModelRow,
+    VERSION: VersionRow,
+    SESSION: SessionRow,
+    SERVICE: ServiceRow,
+}
+
+
+NO_ROW = msgspec.Raw(b'null')
+
+
+class RowEdit(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A row's new content as JSON, or `null` to delete it.
+
+    The base revision is that of the row the author read.
+    """
+
+    key: RowKey
+    content: msgspec.Raw = NO_ROW
+    base_revision: int = NO_REVISION
+
+
+class TableChange(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Edits that are accepted or rejected together."""
+
+    author: str
+    edits: Annotated[tuple[RowEdit, ...], msgspec.Meta(min_length=1)]
+    note: str = ''
--- /dev/null
+++ b/marigoldhoist/components/table/validation.py
@@ -0,0 +1,119 @@
+"""Rules that a legal table obeys."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from marigoldhoist.components.table.const import (
+    EVERY_VERSION,
+    MODEL,
+    SESSION,
+    VERSION,
+    WORKSPACE,
+)
+from marigoldhoist.components.table.errors import InvalidTableError
+from marigoldhoist.components.table.models import (
+    NO_ROW,
+    AnyRow,
+    ModelRow,
+    RowEdit,
+    SessionRow,
+    VersionRow,
+    WorkspaceRow,
+    row_type_by_kind,
+)
+from marigoldhoist.components.table.state import StoredRow
+
+
+def decode_row(edit: RowEdit) -> AnyRow | None:
+    """Decode an edit's content; InvalidTableError names what is wrong."""
+    kind, _, _ = edit.key.partition('/')
+    row_type = row_type_by_kind.get(kind)
+    if row_type is None:
+        allowed = ', '.join(row_type_by_kind)
+        raise InvalidTableError(f'{edit.key}: kind must be one of {allowed}')
+    if bytes(edit.content) == NO_ROW:
+        return None
+    try:
+        return msgspec.json.decode(edit.content, type=row_type)
+    except msgspec.MsgspecError as error:
+        raise InvalidTableError(f'{edit.key}: {error}') from error
+
+
+def check_table(rows_by_key: dict[str, StoredRow]) -> None:
+    """Raise InvalidTableError with the first rule that is broken."""
+    fault = next(_faults(rows_by_key), None)
+    if fault is not None:
+        raise InvalidTableError(fault)
+
+
+def _faults(rows_by_key: dict[str, StoredRow]) -> Iterator[str]:
+    for key, stored in rows_by_key.items():
+        _, _, name = key.partition('/')
+        match stored.row:
+            case ModelRow() as model:
+                yield from _model_faults(name, model, rows_by_key)
+            case WorkspaceRow() as workspace:
+                yield from _workspace_faults(name, workspace, rows_by_key)
+            case VersionRow() as version:
+                yield from _version_faults(name, version, rows_by_key)
+            case SessionRow() as session:
+                yield from _session_faults(name, session, rows_by_key)
+
+
+def _model_faults(
+    name: str, row: ModelRow, rows_by_key: dict[str, StoredRow]
+) -> Iterator[str]:
+    if not any(row.weights_by_version.values()):
+        yield f'{MODEL}/{name}: weights sum to nothing'
+    if len(set(row.cascade)) != len(row.cascade):
+        yield f'{MODEL}/{name}: cascade names a version twice'
+    for version in (*row.weights_by_version, *row.cascade):
+        if f'{VERSION}/{name}/{version}' not in rows_by_key:
+            yield f'{MODEL}/{name}: unknown version {version!r}'
+
+
+def _workspace_faults(
+    name: str, row: WorkspaceRow, rows_by_key: dict[str, StoredRow]
+) -> Iterator[str]:
+    for model, versions in row.versions_by_model.items():
+        if f'{MODEL}/{model}' not in rows_by_key:
+            yield f'{WORKSPACE}/{name}: unknown model {model!r}'
+        for version in versions:
+            known = f'{VERSION}/{model}/{version}' in rows_by_key
+            if version != EVERY_VERSION and not known:
+                yield f'{WORKSPACE}/{name}: unknown version {version!r}'
+
+
+def _version_faults(
+    name: str, row: VersionRow, rows_by_key: dict[str, StoredRow]
+) -> Iterator[str]:
+    model, _, own_name = name.partition('/')
+    if not own_name:
+        yield f'{VERSION}/{name}: name must be model/version'
+    if not row.successor:
+        return
+    successor = row.successor
+    seen = {own_name}
+    while successor:
+        if successor in seen:
+            yield f'{VERSION}/{name}: successors form a loop'
+            return
+        seen.add(successor)
+        stored = rows_by_key.get(f'{VERSION}/{model}/{successor}')
+        if stored is None or not isinstance(stored.row, VersionRow):
+            yield f'{VERSION}/{name}: unknown successor {successor!r}'
+            return
+        successor = stored.row.successor
+
+
+def _session_faults(
+    name: str, row: SessionRow, rows_by_key: dict[str, StoredRow]
+) -> Iterator[str]:
+    workspace, _, own_name = name.partition('/')
+    if not own_name:
+        yield f'{SESSION}/{name}: name must be workspace/session'
+    if f'{WORKSPACE}/{workspace}' not in rows_by_key:
+        yield f'{SESSION}/{name}: unknown workspace {workspace!r}'
+    if f'{VERSION}/{row.model}/{row.version}' not in rows_by_key:
+        yield f'{SESSION}/{name}: unknown version {row.version!r}'
--- /dev/null
+++ b/marigoldhoist/core/__init__.py
@@ -0,0 +1,1 @@
+"""The micro-kernel: services, settings, verdicts, events and clocks."""
--- /dev/null
+++ b/marigoldhoist/core/errors.py
@@ -0,0 +1,74 @@
+"""Errors that cross component borders."""
+
+import dataclasses
+import enum
+
+from marigoldhoist.core.verdict import Verdict
+
+
+class MarigoldhoistError(Exception):
+    """Base of every error this project raises."""
+
+
+class SettingsError(MarigoldhoistError):
+    """A settings file is missing, malformed or out of range."""
+
+
+class KernelError(MarigoldhoistError):
+    """A component is unknown or the components depend on one another."""
+
+
+class ErrorCode(enum.Enum):
+    """Stable codes that callers may match on; the value is the wire form."""
+
+    BAD_REQUEST = 'bad_request'
+    BODY_TOO_LARGE = 'body_too_large'
+    UNAUTHORIZED = 'unauthorized'
+    MODEL_NOT_ALLOWED = 'model_not_allowed'
+    UNKNOWN_MODEL = 'unknown_model'
+    UNKNOWN_SERVICE = 'unknown_service'
+    NO_TABLE = 'no_table'
+    NO_VERSION = 'no_version'
+    NO_REPLICA = 'no_replica'
+    OVER_LIMIT = 'over_limit'
+    OVERLOADED = 'overloaded'
+    DEADLINE_EXCEEDED = 'deadline_exceeded'
+    DRAINING = 'draining'
+    LOG_UNAVAILABLE = 'log_unavailable'
+    DUPLICATE_REQUEST = 'duplicate_request'
+    ORDER_TOO_OLD = 'order_too_old'
+    UPSTREAM_FAILED = 'upstream_failed'
+    UPSTREAM_CUT = 'upstream_cut'
+
+
+HTTP_STATUS_BY_CODE = {
+    ErrorCode.BAD_REQUEST: 400,
+    ErrorCode.BODY_TOO_LARGE: 413,
+    ErrorCode.UNAUTHORIZED: 401,
+    ErrorCode.MODEL_NOT_ALLOWED: 403,
+    ErrorCode.UNKNOWN_MODEL: 404,
+    ErrorCode.UNKNOWN_SERVICE: 404,
+    ErrorCode.DUPLICATE_REQUEST: 409,
+    ErrorCode.ORDER_TOO_OLD: 409,
+    ErrorCode.OVER_LIMIT: 429,
+    ErrorCode.UPSTREAM_FAILED: 502,
+    ErrorCode.UPSTREAM_CUT: 502,
+    ErrorCode.DEADLINE_EXCEEDED: 504,
+}
+
+DEFAULT_HTTP_STATUS = 503
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestFailure:
+    """Why a request got no answer, and whether it may have run."""
+
+    code: ErrorCode
+    message: str
+    verdict: Verdict = Verdict.NOT_RUN
+    retry_after_s: float | None = None
+
+    @property
+    def http_status(self) -> int:
+        """Return the HTTP status that callers get."""
+        return HTTP_STATUS_BY_CODE.get(self.code, DEFAULT_HTTP_STATUS)
--- /dev/null
+++ b/marigoldhoist/core/events.py
@@ -0,0 +1,66 @@
+"""Numbered log events.
+
+Every component declares its events in its own `events.py`; the catalogue in
+docs/EVENTS.md is generated from the registry.
+"""
+
+import dataclasses
+import logging
+import sys
+from collections.abc import MutableMapping
+from typing import Any
+
+import structlog
+
+from marigoldhoist.core.errors import KernelError
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogEvent:
+    """One kind of log line."""
+
+    number: int
+    name: str
+    level: str
+    meaning: str
+
+
+events_by_number: dict[int, LogEvent] = {}
+
+
+def declare_event(number: int, name: str, level: str, meaning: str) -> LogEvent:
+    """Register an event; a number is never given twice."""
+    if number in events_by_number:
+        raise KernelError(f'event number {number} is declared twice')
+    event = LogEvent(number, name, level, meaning)
+    events_by_number[number] = event
+    return event
+
+
+def emit(event: LogEvent, **fields: Any) -> None:
+    """Write one log line for the event."""
+    logger = structlog.get_logger()
+    getattr(logger, event.level)(event.name, number=event.number, **fields)
+
+
+def configure_logs(level: str, host: str) -> None:
+    """Send log lines to standard error as JSON."""
+    number = logging.getLevelNamesMapping()[level.upper()]
+
+    def add_host(
+        _logger: Any, _method: str, fields: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any]:
+        fields['host'] = host
+        return fields
+
+    structlog.configure(
+        processors=[
+            add_host,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(number),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
--- /dev/null
+++ b/marigoldhoist/core/identity.py
@@ -0,0 +1,22 @@
+"""Who this daemon is and how it logs."""
+
+from typing import Annotated
+
+import msgspec
+
+from marigoldhoist.core.settings import settings_section
+
+Name = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9._-]{0,62}$')]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Address = Annotated[str, msgspec.Meta(pattern=r'^[0-9a-fA-F.:]{2,45}$')]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
+
+
+@settings_section('daemon')
+class DaemonSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The daemon's name, failure domain and address."""
+
+    host: Name
+    failure_domain: Name
+    address: Address
+    log_level: str = 'info'
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers; none is part of the shipped file."""
--- /dev/null
+++ b/tools/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around the daemon, with faults."""
--- /dev/null
+++ b/tools/standins/log.py
@@ -0,0 +1,155 @@
+"""The platform's log: offsets, retention, outages, slow and lost answers."""
+
+import dataclasses
+import random
+import threading
+import time
+
+import msgspec
+
+from marigoldhoist.components.platform_log.models import (
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    ReadReply,
+    Record,
+)
+from tools.standins.web import WebReply, WebRequest, WebServer, json_reply
+
+MAX_WAIT_S = 10.0
+
+
+class LogFaults(msgspec.Struct):
+    """Faults of the log; zero and false mean none."""
+
+    is_down: bool = False
+    lose_append_answer: float = 0
+    delay_s: float = 0
+
+
+@dataclasses.dataclass(slots=True)
+class StreamContent:
+    """The kept entries of one stream."""
+
+    first_offset: int = 0
+    entries: list[LogEntry] = dataclasses.field(default_factory=list)
+
+    @property
+    def next_offset(self) -> int:
+        """Return the offset of the next record."""
+        return self.first_offset + len(self.entries)
+
+
+class LogStore:
+    """Streams of entries, in memory."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.appends = 0
+        self.retention_records = 0
+        self._streams: dict[str, StreamContent] = {}
+        self._changed = threading.Condition()
+        self._rng = random.Random(seed)
+
+    def append(self, stream: str, records: tuple[Record, ...]) -> list[int]:
+        """Append records and return their offsets."""
+        with self._changed:
+            self.appends += 1
+            content = self._content(stream)
+            offsets = [self._add(content, record) for record in records]
+            self._expire(content)
+            self._changed.notify_all()
+        return offsets
+
+    def read(
+        self, stream: str, offset: int, limit: int, wait_s: float
+    ) -> ReadReply:
+        """Return entries from offset on, waiting for the first."""
+        with self._changed:
+            content = self._content(stream)
+            self._changed.wait_for(
+                lambda: content.next_offset > offset,
+                min(wait_s, MAX_WAIT_S),
+            )
+            start = max(0, offset - content.first_offset)
+            return ReadReply(
+                first_offset=content.first_offset,
+                next_offset=content.next_offset,
+                entries=tuple(content.entries[start : start + limit]),
+            )
+
+    def entries(self, stream: str) -> list[LogEntry]:
+        """Return the kept entries of a stream."""
+        with self._changed:
+            return list(self._content(stream).entries)
+
+    def truncate(self, stream: str, next_offset: int) -> None:
+        """Lose the end of a stream."""
+        with self._changed:
+            content = self._content(stream)
+            del content.entries[next_offset - content.first_offset :]
+
+    def draws(self, chance: float) -> bool:
+        """Tell whether a fault of that chance strikes."""
+        return self._rng.random() < chance
+
+    def _content(self, stream: str) -> StreamContent:
+        return self._streams.setdefault(stream, StreamContent())
+
+    def _add(self, content: StreamContent, record: Record) -> int:
+        offset = content.next_offset
+        now_ms = int(time.time() * 1000)
+        content.entries.append(LogEntry(offset, now_ms, record))
+        return offset
+
+    def _expire(self, content: StreamContent) -> None:
+        kept = self.retention_records
+        surplus = len(content.entries) - kept
+        if kept and surplus > 0:
+            del content.entries[:surplus]
+            content.first_offset += surplus
+
+
+class LogServer:
+    """Serves a log store over HTTP, with faults of its own.
+
+    Servers that share a store are ways to one log; each can be cut alone.
+    """
+
+    def __init__(
+        self, address: str, port: int, store: LogStore | None = None
+    ) -> None:
+        self.store = store or LogStore()
+        self.faults = LogFaults()
+        self.server = WebServer(address, port, self.handle, threads=64)
+
+    def handle(self, request: WebRequest) -> WebReply:
+        """Answer one request."""
+        if request.path == '/faults':
+            self.faults = msgspec.json.decode(request.body, type=LogFaults)
+            return json_reply(self.faults)
+        if self.faults.delay_s:
+            time.sleep(self.faults.delay_s)
+        if self.faults.is_down:
+            return json_reply({'error': 'down'}, 503)
+        stream = request.path.removeprefix('/streams/').partition('/')[0]
+        if request.method == 'POST':
+            return self._append(stream, request)
+        return self._read(stream, request)
+
+    def _append(self, stream: str, request: WebRequest) -> WebReply:
+        asked = msgspec.json.decode(request.body, type=AppendRequest)
+        offsets = self.store.append(stream, asked.records)
+        if self.store.draws(self.faults.lose_append_answer):
+            return json_reply({'error': 'answer lost'}, 503)
+        return json_reply(AppendReply(tuple(offsets)))
+
+    def _read(self, stream: str, request: WebRequest) -> WebReply:
+        reply = self.store.read(
+            stream,
+            int(request.query.get('from', '0')),
+            int(request.query.get('limit', '100')),
+            float(request.query.get('wait_s', '0')),
+        )
+        if self.faults.is_down:
+            return json_reply({'error': 'down'}, 503)
+        return json_reply(reply)
--- /dev/null
+++ b/tools/world/__init__.py
@@ -0,0 +1,1 @@
+"""A small world of stand-ins and daemons on loopback addresses."""
--- /dev/null
+++ b/tools/world/samples.py
@@ -0,0 +1,64 @@
+"""Sample tables, keys and settings."""
+
+import json
+from typing import Any
+
+import msgspec
+
+from marigoldhoist.components.entry.credentials import digest_of
+from marigoldhoist.components.table.models import RowEdit, TableChange
+
+WORKSPACE_KEY = 'bench-key'
+OTHER_KEY = 'other-key'
+OPERATOR_KEY = 'operator-key'
+PEER_KEY = 'a shared key for samples only'
+
+SAMPLE_ROWS: dict[str, Any] = {
+    'version/pult-model/small': {'cost_per_1k_tokens': 1},
+    'version/pult-model/large': {'cost_per_1k_tokens': 20},
+    'model/pult-model': {'weights_by_version': {'small': 80, 'large': 20}},
+    'service/pult-narudzbe': {'non_repeatable_paths': ['/deposits']},
+    'workspace/bench': {
+        'key_digests': [digest_of(WORKSPACE_KEY)],
+        'versions_by_model': {'pult-model': ['*']},
+        'services': ['pult-narudzbe'],
+    },
+    'workspace/other': {
+        'key_digests': [digest_of(OTHER_KEY)],
+        'versions_by_model': {},
+    },
+}
+
+
+def change_of(
+    rows: dict[str, Any], author: str = 'ana', base_revision: int = -1
+) -> TableChange:
+    """Return a change that writes the rows."""
+    edits = tuple(
+        RowEdit(key, msgspec.Raw(msgspec.json.encode(row)), base_revision)
+        for key, row in rows.items()
+    )
+    return TableChange(author, edits)
+
+
+def settings_text(
+    host: str, domain: str, address: str, log: str, platform: str
+) -> str:
+    """Return a daemon's settings for a world whose platform is there."""
+    sections = {
+        'daemon': {
+            'host': host,
+            'failure_domain': domain,
+            'address': address,
+            'log_level': 'warning',
+        },
+        'platform_log': {
+            'url': f'http://{log}:7000',
+            'long_poll_s': 0.5,
+        },
+        'hosts': {'url': f'http://{platform}:7001', 'poll_interval_s': 0.2},
+        'entry': {'balancer_grace_s': 0.2},
+        'operator': {'key_digests': [digest_of(OPERATOR_KEY)]},
+        'peers': {'key_variable': 'MARIGOLDHOIST_PEER_KEY'},
+    }
+    return json.dumps(sections)
--- /dev/null
+++ b/tools/world/world.py
@@ -0,0 +1,185 @@
+"""Run stand-ins and daemons in this process, for tests."""
+
+import os
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+from marigoldhoist.components.hosts.models import HostEntry, HostRole, HostState
+from marigoldhoist.components.platform_log.const import TABLE_STREAM
+from marigoldhoist.components.platform_log.models import new_record
+from marigoldhoist.components.table.const import CHANGE_KIND
+from marigoldhoist.components.table.models import TableChange
+from marigoldhoist.core.clock import SYSTEM_CLOCK
+from marigoldhoist.core.kernel import Kernel, load_components
+from marigoldhoist.core.settings import parse_settings
+from tools.standins.engine import EngineServer
+from tools.standins.hosts import HostServer
+from tools.standins.log import LogFaults, LogServer
+from tools.standins.plain import PlainServer
+from tools.standins.web import WebServer
+from tools.world.addresses import next_address
+from tools.world.samples import PEER_KEY, SAMPLE_ROWS, change_of, settings_text
+
+LOG_PORT = 7000
+HOSTS_PORT = 7001
+ENTRY_PORT = 7100
+PEER_PORT = 7200
+OPERATOR_PORT = 7300
+UPSTREAM_PORT = 7400
+WAIT_S = 15.0
+POLL_S = 0.01
+
+
+class World:
+    """Stand-ins and daemons that find each other; use it in a with block."""
+
+    def __init__(self, rows: dict[str, object] | None = None) -> None:
+        self.platform = next_address()
+        self.log = LogServer(self.platform, LOG_PORT)
+        self.hosts = HostServer(self.platform, HOSTS_PORT)
+        self.engines_by_host: dict[str, EngineServer] = {}
+        self.plain_by_host: dict[str, PlainServer] = {}
+        self.kernels_by_host: dict[str, Kernel] = {}
+        self.log_by_host: dict[str, LogServer] = {}
+        self._entries_by_host: dict[str, HostEntry] = {}
+        self._servers: list[WebServer] = []
+        self.change_table(change_of(SAMPLE_ROWS if rows is None else rows))
+
+    def __enter__(self) -> 'World':
+        """Start the platform."""
+        os.environ['MARIGOLDHOIST_PEER_KEY'] = PEER_KEY
+        load_components()
+        self._serve(self.log.server)
+        self._serve(self.hosts.server)
+        return self
+
+    def __exit__(self, *_exception: object) -> None:
+        """Stop everything."""
+        kernels = list(self.kernels_by_host.values())
+        _all_at_once(kernel.stop for kernel in kernels)
+        _all_at_once(server.stop for server in self._servers)
+
+    def change_table(self, change: TableChange) -> int:
+        """Append a change to the log and return its offset."""
+        record = new_record(CHANGE_KIND, change)
+        return self.log.store.append(TABLE_STREAM, (record,))[0]
+
+    def add_engine(
+        self, host: str, domain: str, *serves: str, token_time_s: float = 0.001
+    ) -> EngineServer:
+        """Start an engine that serves the named versions."""
+        address = next_address()
+        engine = EngineServer(address, UPSTREAM_PORT, token_time_s)
+        self.engines_by_host[host] = engine
+        self._serve(engine.server)
+        self.list_host(
+            HostEntry(
+                host,
+                HostRole.ENGINE,
+                address,
+                UPSTREAM_PORT,
+                domain,
+                serves=serves,
+            )
+        )
+        return engine
+
+    def add_plain(self, host: str, domain: str, service: str) -> PlainServer:
+        """Start a replica of a plain service."""
+        address = next_address()
+        plain = PlainServer(address, UPSTREAM_PORT)
+        self.plain_by_host[host] = plain
+        self._serve(plain.server)
+        self.list_host(
+            HostEntry(
+                host,
+                HostRole.SERVICE,
+                address,
+                UPSTREAM_PORT,
+                domain,
+                serves=(service,),
+            )
+        )
+        return plain
+
+    def add_daemon(self, host: str, domain: str) -> Kernel:
+        """Start a daemon and wait until it has a table."""
+        address = next_address()
+        own_log = LogServer(next_address(), LOG_PORT, self.log.store)
+        self.log_by_host[host] = own_log
+        self._serve(own_log.server)
+        text = settings_text(
+            host, domain, address, own_log.server.address, self.platform
+        )
+        self.list_host(
+            HostEntry(host, HostRole.DAEMON, address, PEER_PORT, domain)
+        )
+        kernel = Kernel(parse_settings(text))
+        self.kernels_by_host[host] = kernel
+        kernel.start()
+        return kernel
+
+    def set_log_faults(self, faults: LogFaults, *hosts: str) -> None:
+        """Set the faults of the log as the named daemons meet it, or all."""
+        for host in hosts or tuple(self.log_by_host):
+            self.log_by_host[host].faults = faults
+
+    def stop_daemon(self, host: str) -> None:
+        """Stop a daemon as a planned stop does."""
+        self.kernels_by_host.pop(host).stop()
+        self.unlist_host(host)
+
+    def address_of(self, host: str) -> str:
+        """Return a host's address."""
+        return self._entries_by_host[host].address
+
+    def list_host(self, entry: HostEntry) -> None:
+        """Add a host to the platform's list."""
+        self._entries_by_host[entry.host] = entry
+        self.hosts.store.set(tuple(self._entries_by_host.values()))
+
+    def unlist_host(self, host: str) -> None:
+        """Take a host off the platform's list."""
+        self._entries_by_host.pop(host, None)
+        self.hosts.store.set(tuple(self._entries_by_host.values()))
+
+    def mark_leaving(self, host: str) -> None:
+        """Show a host as leaving on the platform's list."""
+        entry = self._entries_by_host[host]
+        self.list_host(
+            HostEntry(
+                entry.host,
+                entry.role,
+                entry.address,
+                entry.port,
+                entry.failure_domain,
+                HostState.LEAVING,
+                entry.serves,
+            )
+        )
+
+    def _serve(self, server: WebServer) -> None:
+        server.start()
+        self._servers.append(server)
+
+
+def _all_at_once(calls: Iterable[Callable[[], None]]) -> None:
+    threads = [threading.Thread(target=call) for call in calls]
+    for starting in threads:
+        starting.start()
+    for ending in threads:
+        ending.join()
+
+
+def wait_until(condition: Callable[[], bool], what: str) -> None:
+    """Wait for a condition; AssertionError names it where it never comes."""
+    deadline_s = SYSTEM_CLOCK.monotonic_s() + WAIT_S
+    while not condition():
+        if SYSTEM_CLOCK.monotonic_s() > deadline_s:
+            raise AssertionError(f'never came: {what}')
+        _pause()
+
+
+def _pause() -> None:
+    time.sleep(POLL_S)
