Split dispatch into stages, attempts and calls; add metrics and status

Cause: sessions, claims, limits, health and quality all act around a request; with one dispatch class they would all edit the same functions.

Change: components add a Stage (admit, attempted, settle) to dispatch; tries at replicas, building of calls and metering have a file each; CallerRequest and Answer moved to core, which ends a circular import between routing and dispatch.

--- a/marigoldhoist/components/billing/models.py
+++ b/marigoldhoist/components/billing/models.py
@@ -30,3 +30,9 @@
     """Return the record id of a request's only bill."""
     name = f'{workspace}\0{request_id}'.encode()
     return f'bill-{hashlib.sha256(name).hexdigest()[:32]}'
+
+
+class BillingStatus(msgspec.Struct, frozen=True):
+    """Bills that are not on the log yet."""
+
+    unshipped: int
--- a/marigoldhoist/components/billing/service.py
+++ b/marigoldhoist/components/billing/service.py
@@ -11,7 +11,7 @@
     SHIP_INTERVAL_S,
     SHIP_TIMEOUT_S,
 )
-from marigoldhoist.components.billing.models import Bill
+from marigoldhoist.components.billing.models import Bill, BillingStatus
 from marigoldhoist.components.platform_log.const import BILL_STREAM
 from marigoldhoist.components.platform_log.const import COMPONENT as LOG
 from marigoldhoist.components.platform_log.models import new_record
@@ -43,6 +43,10 @@
         while self.unshipped and is_shipping:
             is_shipping = self.ship()
 
+    def status(self) -> BillingStatus:
+        """Return what operators see of the bills."""
+        return BillingStatus(self.unshipped)
+
     def charge(self, bill: Bill) -> None:
         """Take a bill; a second one for the request is ignored."""
         with self._lock:
--- /dev/null
+++ b/marigoldhoist/components/dispatch/calls.py
@@ -0,0 +1,43 @@
+"""Build the call that an upstream gets for a request."""
+
+import msgspec
+
+from marigoldhoist.components.dispatch.const import (
+    CHAT_PATH,
+    DEADLINE_HEADER,
+    REQUEST_ID_HEADER,
+)
+from marigoldhoist.components.upstreams.models import UpstreamCall
+from marigoldhoist.core.const import MS_PER_S
+from marigoldhoist.core.exchange import CallerRequest
+
+
+def serving_name(request: CallerRequest, version: str) -> str:
+    """Return `model/version`, or the name of a plain service."""
+    return f'{request.target}/{version}' if version else request.target
+
+
+def upstream_call(request: CallerRequest, version: str) -> UpstreamCall:
+    """Return the call; a model request names the version chosen."""
+    body = request.body
+    path = request.path
+    if version:
+        path = CHAT_PATH
+        body = _with_model(body, serving_name(request, version))
+    return UpstreamCall(
+        method=request.method,
+        path=path,
+        headers={
+            'Content-Type': request.content_type,
+            REQUEST_ID_HEADER: request.request_id,
+            DEADLINE_HEADER: str(int(request.time_left_s * MS_PER_S)),
+        },
+        body=body,
+        timeout_s=request.time_left_s,
+    )
+
+
+def _with_model(body: bytes, serving: str) -> bytes:
+    fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    fields['model'] = msgspec.Raw(msgspec.json.encode(serving))
+    return msgspec.json.encode(fields)
--- a/marigoldhoist/components/dispatch/metering.py
+++ b/marigoldhoist/components/dispatch/metering.py
@@ -27,12 +27,14 @@
 
     def feed(self, chunk: bytes) -> None:
         """Take the next bytes; an event may lie across two chunks."""
-        window = self._tail + chunk
-        lines = window.split(b'\n')
+        lines = (self._tail + chunk).split(b'\n')
         self._tail = lines.pop()
         for line in lines:
             self._take_line(line)
 
+    def end(self) -> None:
+        """Learn that the body came to its end."""
+
     def _take_line(self, line: bytes) -> None:
         if line.startswith(DONE_EVENT):
             self.is_whole = True
@@ -44,22 +46,19 @@
     """Reads the usage of an unstreamed answer."""
 
     def __init__(self) -> None:
+        self.tokens = 0
+        self.is_whole = False
         self._body = bytearray()
 
-    @property
-    def tokens(self) -> int:
-        """Return the tokens that the engine counted."""
-        try:
-            whole = msgspec.json.decode(bytes(self._body), type=WholeAnswer)
-        except msgspec.MsgspecError:
-            return 0
-        return whole.usage.completion_tokens
-
-    @property
-    def is_whole(self) -> bool:
-        """Tell whether the body came; its length is checked by HTTP."""
-        return bool(self._body)
-
     def feed(self, chunk: bytes) -> None:
         """Take the next bytes."""
         self._body += chunk
+
+    def end(self) -> None:
+        """Learn that the body came to its end, and read its usage."""
+        self.is_whole = True
+        try:
+            whole = msgspec.json.decode(bytes(self._body), type=WholeAnswer)
+        except msgspec.MsgspecError:
+            return
+        self.tokens = whole.usage.completion_tokens
--- a/marigoldhoist/components/dispatch/service.py
+++ b/marigoldhoist/components/dispatch/service.py
@@ -1,70 +1,70 @@
 """The dispatch service."""
 
+import time
 from collections.abc import Iterator
 
-import msgspec
 import urllib3
 from result import Err, Ok, Result
 
 from marigoldhoist.components.billing.const import COMPONENT as BILLING
 from marigoldhoist.components.billing.models import Bill
 from marigoldhoist.components.billing.service import BillingService
-from marigoldhoist.components.dispatch.const import (
-    CHAT_PATH,
-    DEADLINE_HEADER,
-    HTTP_SERVER_ERROR,
-    JSON_TYPE,
-    MAX_ATTEMPTS,
-    REQUEST_ID_HEADER,
-    TOKENS_PER_COST,
-)
+from marigoldhoist.components.dispatch.attempts import Attempts
+from marigoldhoist.components.dispatch.calls import serving_name
+from marigoldhoist.components.dispatch.const import JSON_TYPE, TOKENS_PER_COST
 from marigoldhoist.components.dispatch.metering import BodyMeter, StreamMeter
-from marigoldhoist.components.dispatch.models import Answer, CallerRequest
+from marigoldhoist.components.dispatch.stages import (
+    Attempt,
+    Outcome,
+    Passage,
+    Stage,
+    Stages,
+)
 from marigoldhoist.components.routing.const import COMPONENT as ROUTING
 from marigoldhoist.components.routing.service import RoutingService
 from marigoldhoist.components.table.const import COMPONENT as TABLE
 from marigoldhoist.components.table.service import TableService
 from marigoldhoist.components.upstreams.answer import UpstreamAnswer
 from marigoldhoist.components.upstreams.const import COMPONENT as UPSTREAMS
-from marigoldhoist.components.upstreams.models import Replica, UpstreamCall
 from marigoldhoist.components.upstreams.service import UpstreamService
-from marigoldhoist.core.const import MS_PER_S
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
+from marigoldhoist.core.exchange import Answer, CallerRequest
 from marigoldhoist.core.identity import DaemonSettings
 from marigoldhoist.core.kernel import BaseService, Kernel
 from marigoldhoist.core.verdict import Verdict
 
+Answered = Result[Answer, RequestFailure]
+
 
 class DispatchService(BaseService):
     """Runs each request on an allowed version and bills it."""
 
     def __init__(self, kernel: Kernel) -> None:
-        self._kernel = kernel
         self._host = kernel.settings.section(DaemonSettings).host
         self._table = kernel.find(TABLE, TableService)
         self._routing = kernel.find(ROUTING, RoutingService)
-        self._upstreams = kernel.find(UPSTREAMS, UpstreamService)
         self._billing = kernel.find(BILLING, BillingService)
+        self._attempts = Attempts(
+            self._table,
+            self._routing,
+            kernel.find(UPSTREAMS, UpstreamService),
+        )
+        self._stages = Stages()
+
+    def add_stage(self, order: int, stage: Stage) -> None:
+        """Put a stage around every request; lower orders admit first."""
+        self._stages.add(order, stage)
 
-    def chat(self, request: CallerRequest) -> Result[Answer, RequestFailure]:
+    def chat(self, request: CallerRequest) -> Answered:
         """Answer a model request."""
         refusal = self._refuse(request)
         if refusal is not None:
             return Err(refusal)
-        chosen = self._routing.choose_version(
-            request.workspace,
-            request.target,
-            request.session or request.request_id,
-        )
-        if isinstance(chosen, Err):
-            return chosen
-        return self._try_replicas(request, chosen.ok_value)
+        return self._pass_stages(request, is_chat=True)
 
-    def call_service(
-        self, request: CallerRequest
-    ) -> Result[Answer, RequestFailure]:
+    def call_service(self, request: CallerRequest) -> Answered:
         """Pass a request through to a plain service."""
-        return self._try_replicas(request, '')
+        return self._pass_stages(request, is_chat=False)
 
     def _refuse(self, request: CallerRequest) -> RequestFailure | None:
         state = self._table.state
@@ -82,133 +82,89 @@
             )
         return None
 
-    def _try_replicas(
-        self, request: CallerRequest, version: str
-    ) -> Result[Answer, RequestFailure]:
-        tried: frozenset[str] = frozenset()
-        outcome: Result[Answer, RequestFailure] = Err(
-            RequestFailure(ErrorCode.DEADLINE_EXCEEDED, 'no time left')
-        )
-        for _ in range(MAX_ATTEMPTS):
-            replica = self._routing.choose_replica(
-                _serving(request, version), tried
-            )
-            if isinstance(replica, Err):
-                return outcome if tried else replica
-            tried |= {replica.ok_value.host}
-            outcome = self._attempt(request, version, replica.ok_value)
-            if not _may_try_again(request, outcome):
-                return outcome
-        return outcome
-
-    def _attempt(
-        self, request: CallerRequest, version: str, replica: Replica
-    ) -> Result[Answer, RequestFailure]:
-        if request.time_left_s <= 0:
-            return Err(
-                RequestFailure(ErrorCode.DEADLINE_EXCEEDED, 'no time left')
-            )
-        if version and not self._table.state.takes_work(
-            request.target, version
-        ):
-            return Err(
-                RequestFailure(ErrorCode.NO_VERSION, 'version was withdrawn')
-            )
-        sent = self._upstreams.send(replica, _upstream_call(request, version))
-        return sent.and_then(
-            lambda answer: self._accept(request, version, answer)
-        )
-
-    def _accept(
-        self, request: CallerRequest, version: str, answer: UpstreamAnswer
-    ) -> Result[Answer, RequestFailure]:
-        if answer.status >= HTTP_SERVER_ERROR and version:
-            answer.close()
-            return Err(
-                RequestFailure(
-                    ErrorCode.UPSTREAM_FAILED,
-                    f'upstream answered {answer.status}',
-                    Verdict.MAY_HAVE_RUN,
-                )
-            )
-        return Ok(
-            Answer(
+    def _pass_stages(self, request: CallerRequest, is_chat: bool) -> Answered:
+        passage = self._stages.enter(request)
+        answered = self._answer(passage, is_chat)
+        if isinstance(answered, Err):
+            failure = answered.err_value
+            passage.settle(Outcome(failure.verdict, failure=failure))
+        return answered
+
+    def _answer(self, passage: Passage, is_chat: bool) -> Answered:
+        match passage.stopped_by:
+            case RequestFailure() as refusal:
+                return Err(refusal)
+            case Answer() as answer:
+                passage.settle(Outcome(Verdict.RAN, answer.serving))
+                return Ok(answer)
+        if not is_chat:
+            return self._run(passage, '')
+        chosen = self._routing.choose_version(passage.request)
+        return chosen.and_then(lambda version: self._run(passage, version))
+
+    def _run(self, passage: Passage, version: str) -> Answered:
+        tried = self._attempts.run(passage, version)
+        return tried.map(
+            lambda answer: Answer(
                 status=answer.status,
                 content_type=answer.content_type or JSON_TYPE,
-                serving=_serving(request, version),
-                body=self._metered(request, version, answer),
+                serving=serving_name(passage.request, version),
+                body=self._metered(passage, version, answer),
             )
         )
 
     def _metered(
-        self, request: CallerRequest, version: str, answer: UpstreamAnswer
+        self, passage: Passage, version: str, answer: UpstreamAnswer
     ) -> Iterator[bytes]:
-        meter = StreamMeter() if request.is_streamed else BodyMeter()
-        is_whole = False
+        started_s = time.monotonic()
+        meter = StreamMeter() if passage.request.is_streamed else BodyMeter()
+        first_token_s: float = 0
         try:
             for chunk in answer.chunks():
+                first_token_s = first_token_s or time.monotonic() - started_s
                 meter.feed(chunk)
                 yield chunk
-            is_whole = meter.is_whole
+            meter.end()
         except urllib3.exceptions.HTTPError:
-            is_whole = False
+            meter.is_whole = False
         finally:
             answer.close()
-            self._charge(request, version, meter.tokens, is_whole)
+            attempt = Attempt(
+                serving=serving_name(passage.request, version),
+                replica=answer.replica.host,
+                verdict=Verdict.RAN,
+                status=answer.status,
+                tokens=meter.tokens,
+                is_whole=meter.is_whole,
+                first_token_s=first_token_s,
+                duration_s=time.monotonic() - started_s,
+            )
+            self._finish(passage, version, attempt)
 
-    def _charge(
-        self, request: CallerRequest, version: str, tokens: int, is_whole: bool
-    ) -> None:
+    def _finish(self, passage: Passage, version: str, attempt: Attempt) -> None:
+        request = passage.request
         row = self._table.state.version(request.target, version)
-        cost_per_1k = row.cost_per_1k_tokens if row else 0
+        price = row.cost_per_1k_tokens if row else 0
+        cost = price * attempt.tokens / TOKENS_PER_COST
+        passage.report(attempt)
         self._billing.charge(
             Bill(
                 workspace=request.workspace,
                 request_id=request.request_id,
-                serving=_serving(request, version),
-                tokens=tokens,
-                cost=cost_per_1k * tokens / TOKENS_PER_COST,
-                is_whole=is_whole,
+                serving=attempt.serving,
+                tokens=attempt.tokens,
+                cost=cost,
+                is_whole=attempt.is_whole,
                 host=self._host,
             )
         )
-
-
-def _serving(request: CallerRequest, version: str) -> str:
-    return f'{request.target}/{version}' if version else request.target
-
-
-def _may_try_again(
-    request: CallerRequest, outcome: Result[Answer, RequestFailure]
-) -> bool:
-    if isinstance(outcome, Ok):
-        return False
-    failure = outcome.err_value
-    if failure.code is not ErrorCode.UPSTREAM_FAILED:
-        return False
-    return request.is_repeatable or failure.verdict.allows_retry
-
-
-def _upstream_call(request: CallerRequest, version: str) -> UpstreamCall:
-    body = request.body
-    path = request.path
-    if version:
-        path = CHAT_PATH
-        body = _with_version(body, _serving(request, version))
-    return UpstreamCall(
-        method=request.method,
-        path=path,
-        headers={
-            'Content-Type': request.content_type,
-            REQUEST_ID_HEADER: request.request_id,
-            DEADLINE_HEADER: str(int(request.time_left_s * MS_PER_S)),
-        },
-        body=body,
-        timeout_s=request.time_left_s,
-    )
-
-
-def _with_version(body: bytes, serving: str) -> bytes:
-    fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-    fields['model'] = msgspec.Raw(msgspec.json.encode(serving))
-    return msgspec.json.encode(fields)
+        passage.settle(
+            Outcome(
+                verdict=attempt.verdict,
+                serving=attempt.serving,
+                status=attempt.status,
+                tokens=attempt.tokens,
+                cost=cost,
+                is_whole=attempt.is_whole,
+            )
+        )
--- a/marigoldhoist/components/entry/app.py
+++ b/marigoldhoist/components/entry/app.py
@@ -16,7 +16,6 @@
     VERDICT_HEADER,
     VERSION_HEADER,
 )
-from marigoldhoist.components.dispatch.models import Answer, CallerRequest
 from marigoldhoist.components.dispatch.service import DispatchService
 from marigoldhoist.components.entry.const import MODELS_PATH, SERVICE_PREFIX
 from marigoldhoist.components.entry.credentials import Credentials
@@ -38,6 +37,7 @@
 from marigoldhoist.components.table.models import WorkspaceRow
 from marigoldhoist.components.table.service import TableService
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
+from marigoldhoist.core.exchange import Answer, CallerRequest
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
--- a/marigoldhoist/components/entry/reader.py
+++ b/marigoldhoist/components/entry/reader.py
@@ -7,7 +7,6 @@
 import msgspec
 from result import Err, Ok, Result
 
-from marigoldhoist.components.dispatch.models import CallerRequest
 from marigoldhoist.components.entry.const import (
     BEARER,
     MAX_REQUEST_ID_CHARS,
@@ -19,6 +18,7 @@
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.const import MS_PER_S
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
+from marigoldhoist.core.exchange import CallerRequest
 
 Environ = dict[str, Any]
 
--- a/marigoldhoist/components/operator/models.py
+++ b/marigoldhoist/components/operator/models.py
@@ -1,5 +1,7 @@
 """Answers to operators, as they cross the wire."""
 
+from typing import Any
+
 import msgspec
 
 from marigoldhoist.components.table.models import AnyRow
@@ -11,11 +13,8 @@
     host: str
     failure_domain: str
     version: str
-    table_revision: int
-    next_offset_by_stream: dict[str, int]
-    peers: tuple[str, ...]
-    unshipped_bills: int
     is_ready: bool
+    services_by_name: dict[str, Any]
 
 
 class ShownRow(msgspec.Struct, frozen=True):
--- a/marigoldhoist/components/operator/service.py
+++ b/marigoldhoist/components/operator/service.py
@@ -5,9 +5,9 @@
 from result import Ok
 
 from marigoldhoist import __version__
-from marigoldhoist.components.billing.const import COMPONENT as BILLING
-from marigoldhoist.components.billing.service import BillingService
 from marigoldhoist.components.operator.app import (
+    OK,
+    TEXT_TYPE,
     UNAVAILABLE,
     OperatorApp,
     Page,
@@ -25,10 +25,6 @@
     Status,
 )
 from marigoldhoist.components.operator.settings import OperatorSettings
-from marigoldhoist.components.peers.const import COMPONENT as PEERS
-from marigoldhoist.components.peers.service import PeerService
-from marigoldhoist.components.platform_log.const import COMPONENT as LOG
-from marigoldhoist.components.platform_log.service import LogService
 from marigoldhoist.components.table.const import COMPONENT as TABLE
 from marigoldhoist.components.table.errors import ChangeRejected
 from marigoldhoist.components.table.models import TableChange
@@ -44,10 +40,7 @@
         self._kernel = kernel
         self._daemon = kernel.settings.section(DaemonSettings)
         settings = kernel.settings.section(OperatorSettings)
-        self._log = kernel.find(LOG, LogService)
         self._table = kernel.find(TABLE, TableService)
-        self._peers = kernel.find(PEERS, PeerService)
-        self._billing = kernel.find(BILLING, BillingService)
         self.app = OperatorApp(settings)
         self._add_routes()
         self._server = wsgi.Server(
@@ -75,6 +68,7 @@
     def _add_routes(self) -> None:
         self.app.add('GET /live', self._show_live, is_open=True)
         self.app.add('GET /ready', self._show_ready, is_open=True)
+        self.app.add('GET /metrics', self._show_metrics)
         self.app.add('GET /status', self._show_status)
         self.app.add('GET /table', self._show_table)
         self.app.add('POST /table', self._change_table)
@@ -94,17 +88,21 @@
                 host=self._daemon.host,
                 failure_domain=self._daemon.failure_domain,
                 version=__version__,
-                table_revision=self._table.state.revision,
-                next_offset_by_stream={
-                    stream: feed.next_offset
-                    for stream, feed in self._log.feeds_by_stream.items()
-                },
-                peers=tuple(peer.host for peer in self._peers.live()),
-                unshipped_bills=self._billing.unshipped,
                 is_ready=self.is_ready,
+                services_by_name=self._service_status(),
             )
         )
 
+    def _service_status(self) -> dict[str, msgspec.Struct]:
+        named = (
+            (name, service.status())
+            for name, service in self._kernel.services_by_name.items()
+        )
+        return {name: status for name, status in named if status is not None}
+
+    def _show_metrics(self, _body: bytes) -> Page:
+        return Page(self._kernel.metrics.exposition(), OK, TEXT_TYPE)
+
     def _show_table(self, _body: bytes) -> Page:
         state = self._table.state
         rows = tuple(
--- a/marigoldhoist/components/peers/models.py
+++ b/marigoldhoist/components/peers/models.py
@@ -15,3 +15,9 @@
     """Sent at a fixed interval; the other end answers each."""
 
     sent_ms: int
+
+
+class PeerStatus(msgspec.Struct, frozen=True):
+    """Hosts with an open link."""
+
+    linked: tuple[str, ...]
--- a/marigoldhoist/components/peers/service.py
+++ b/marigoldhoist/components/peers/service.py
@@ -19,6 +19,7 @@
 from marigoldhoist.components.peers.link import Link
 from marigoldhoist.components.peers.listener import Listener
 from marigoldhoist.components.peers.loop import LoopThread
+from marigoldhoist.components.peers.models import PeerStatus
 from marigoldhoist.components.peers.settings import PeerSettings
 from marigoldhoist.components.peers.topics import Handler, Topics
 from marigoldhoist.core.events import emit
@@ -63,6 +64,10 @@
         """Close every link."""
         self._loop.stop(STOP_TIMEOUT_S)
 
+    def status(self) -> PeerStatus:
+        """Return what operators see of the links."""
+        return PeerStatus(tuple(peer.host for peer in self.live()))
+
     def subscribe(self, topic: str, handler: Handler) -> None:
         """Handle messages of a topic; the handler must not block."""
         self._topics.subscribe(topic, handler)
--- a/marigoldhoist/components/routing/service.py
+++ b/marigoldhoist/components/routing/service.py
@@ -16,6 +16,7 @@
 from marigoldhoist.components.upstreams.models import Replica
 from marigoldhoist.components.upstreams.service import UpstreamService
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
+from marigoldhoist.core.exchange import CallerRequest
 from marigoldhoist.core.identity import DaemonSettings
 from marigoldhoist.core.kernel import BaseService, Kernel
 
@@ -30,16 +31,18 @@
         self._rng = random.Random()
 
     def choose_version(
-        self, workspace: str, model: str, key: str
+        self, request: CallerRequest
     ) -> Result[str, RequestFailure]:
-        """Choose a version of the model; the same key gives the same one."""
-        weights = usable_weights(self._table.state, workspace, model)
+        """Choose a version; the same session or request gets the same one."""
+        model = request.target
+        weights = usable_weights(self._table.state, request.workspace, model)
         if not weights:
             return Err(
                 RequestFailure(
                     ErrorCode.NO_VERSION, f'no version of {model} takes work'
                 )
             )
+        key = request.session or request.request_id
         return Ok(pick_by_weight(weights, key))
 
     def choose_replica(
--- a/marigoldhoist/components/table/models.py
+++ b/marigoldhoist/components/table/models.py
@@ -128,3 +128,10 @@
     author: str
     edits: Annotated[tuple[RowEdit, ...], msgspec.Meta(min_length=1)]
     note: str = ''
+
+
+class TableStatus(msgspec.Struct, frozen=True):
+    """The revision in force and the next offset to fold."""
+
+    revision: int
+    next_offset: int
--- a/marigoldhoist/components/table/service.py
+++ b/marigoldhoist/components/table/service.py
@@ -26,7 +26,7 @@
     TableFold,
     changed_state,
 )
-from marigoldhoist.components.table.models import TableChange
+from marigoldhoist.components.table.models import TableChange, TableStatus
 from marigoldhoist.components.table.state import TableState
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.kernel import BaseService, Kernel
@@ -48,6 +48,10 @@
         """Return the table in force."""
         return self.fold.state
 
+    def status(self) -> TableStatus:
+        """Return what operators see of the table."""
+        return TableStatus(self.state.revision, self.feed.next_offset)
+
     def submit(
         self, change: TableChange, record_id: str = ''
     ) -> Result[AuditEntry, ChangeFailure]:
--- a/marigoldhoist/components/dispatch/models.py
+++ b/marigoldhoist/core/exchange.py
@@ -1,4 +1,4 @@
-"""Requests and answers inside the daemon."""
+"""A request and its answer, as components hand them on."""
 
 import dataclasses
 from collections.abc import Iterator
--- a/marigoldhoist/core/kernel.py
+++ b/marigoldhoist/core/kernel.py
@@ -7,9 +7,12 @@
 from collections.abc import Callable, Iterator
 from typing import Protocol, TypeVar
 
+import msgspec
+
 from marigoldhoist.core.const import JOIN_TIMEOUT_S
 from marigoldhoist.core.errors import KernelError
 from marigoldhoist.core.events import declare_event, emit
+from marigoldhoist.core.metrics import Metrics
 from marigoldhoist.core.settings import Settings
 
 SERVICE_STARTED = declare_event(
@@ -40,6 +43,9 @@
     def stop(self) -> None:
         """End background work."""
 
+    def status(self) -> msgspec.Struct | None:
+        """Return what operators see of this service, if anything."""
+
 
 class BaseService:
     """A service with nothing to start, drain or stop."""
@@ -56,6 +62,9 @@
     def stop(self) -> None:
         """End background work."""
 
+    def status(self) -> msgspec.Struct | None:
+        """Return what operators see of this service, if anything."""
+
 
 SetUp = Callable[['Kernel'], Service]
 
@@ -96,6 +105,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
+        self.metrics = Metrics()
         self.stopping = threading.Event()
         self.draining = threading.Event()
         self.services_by_name: dict[str, Service] = {}
