--- a/marigoldhoist/core/metrics.py
+++ b/marigoldhoist/core/metrics.py
@@ -75,7 +75,7 @@
     def latency(self, name: str, meaning: str) -> Latency:
         """Create a latency histogram; the name ends in `_seconds`."""
         created = Latency(name, meaning)
-        self._registry.register(created)  # type: ignore[arg-type]
+        self._registry.register(created)
         return created
 
     def exposition(self) -> bytes:
