Make withdrawal final and fix its successors in tombstones

Cause: a withdrawn version's row could be written live again, and nothing said where its sessions go. Deleting a row was always refused, because bytes are never equal to a msgspec.Raw. Change: the fold keeps a tombstone for each withdrawn or deleted version, with the named successor and the weights of the live versions at that offset; TableState.successor_of follows them. Audit entries carry each row before and after. pick_by_weight moves to core/rendezvous. Conclusion: a chain of successors only leads to versions withdrawn later, so it ends, and a later change of weights moves no session.

--- a/marigoldhoist/components/routing/const.py
+++ b/marigoldhoist/components/routing/const.py
@@ -4,5 +4,4 @@
 
 COMPONENT: Final = 'routing'
 
-HASH_RANGE: Final = 1 << 64
 CANDIDATES: Final = 2
--- a/marigoldhoist/components/routing/versions.py
+++ b/marigoldhoist/components/routing/versions.py
@@ -1,11 +1,9 @@
 """Share a model's traffic between its versions by weight."""
 
-import math
-
-import xxhash
-
-from marigoldhoist.components.routing.const import HASH_RANGE
 from marigoldhoist.components.table.state import TableState
+from marigoldhoist.core.rendezvous import pick_by_weight
+
+__all__ = ('pick_by_weight', 'usable_weights')
 
 
 def usable_weights(
@@ -23,18 +21,3 @@
         and workspace_row.allows(model, version)
         and state.takes_work(model, version)
     }
-
-
-def pick_by_weight(weights: dict[str, int], key: str) -> str:
-    """Pick a version by weighted rendezvous hashing of the key.
-
-    The same key and weights give the same version at every daemon, and a
-    change of one weight moves only the keys it has to.
-    """
-    return max(weights, key=lambda version: _score(version, weights, key))
-
-
-def _score(version: str, weights: dict[str, int], key: str) -> float:
-    digest = xxhash.xxh3_64_intdigest(f'{key}\0{version}'.encode())
-    uniform = (digest + 1) / (HASH_RANGE + 1)
-    return -weights[version] / math.log(uniform)
--- a/marigoldhoist/components/table/fold.py
+++ b/marigoldhoist/components/table/fold.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Mapping
 from typing import Literal
 
 import msgspec
@@ -17,13 +18,31 @@
     NO_REVISION,
 )
 from marigoldhoist.components.table.errors import InvalidTableError
-from marigoldhoist.components.table.models import RowEdit, TableChange
-from marigoldhoist.components.table.state import StoredRow, TableState
+from marigoldhoist.components.table.models import (
+    AnyRow,
+    RowEdit,
+    StoredRow,
+    TableChange,
+)
+from marigoldhoist.components.table.state import TableState
+from marigoldhoist.components.table.tombstones import (
+    buried,
+    check_withdrawals,
+)
 from marigoldhoist.components.table.validation import check_table, decode_row
 
 Outcome = Literal['accepted', 'rejected']
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AuditRow:
+    """A row before a change, and as the change would have it."""
+
+    key: str
+    before: AnyRow | None
+    after: msgspec.Raw
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AuditEntry:
     """What became of one change."""
@@ -36,6 +55,8 @@
     outcome: Outcome
     reason: str = ''
     winner: int | None = None
+    rows: tuple[AuditRow, ...] = ()
+    note: str = ''
 
 
 class LostRaceError(InvalidTableError):
@@ -72,14 +93,15 @@
         try:
             change = msgspec.json.decode(entry.record.body, type=TableChange)
         except msgspec.MsgspecError as error:
-            return _audit(entry, None, str(error))
+            return _unreadable(entry, str(error))
+        audited = _audit(entry, change, before=self.state.rows_by_key)
         try:
             self.state = changed_state(self.state, change, entry.offset)
         except LostRaceError as lost:
-            return _audit(entry, change, str(lost), lost.winner)
+            return _rejected(audited, str(lost), lost.winner)
         except InvalidTableError as error:
-            return _audit(entry, change, str(error))
-        return _audit(entry, change)
+            return _rejected(audited, str(error))
+        return audited
 
     def _record(self, audited: AuditEntry) -> None:
         if len(self.audit) == AUDIT_ENTRIES:
@@ -101,8 +123,11 @@
             rows_by_key.pop(edit.key, None)
         else:
             rows_by_key[edit.key] = StoredRow(offset, row)
+    before = state.rows_by_key
+    check_withdrawals(before, rows_by_key, state.tombstones_by_key)
     check_table(rows_by_key)
-    return TableState(offset, rows_by_key)
+    tombstones = buried(before, rows_by_key, state.tombstones_by_key, offset)
+    return TableState(offset, rows_by_key, tombstones)
 
 
 def _check_base(stored: StoredRow | None, edit: RowEdit) -> None:
@@ -111,20 +136,43 @@
         raise LostRaceError(edit.key, current)
 
 
+def _rejected(
+    audited: AuditEntry, reason: str, winner: int | None = None
+) -> AuditEntry:
+    return dataclasses.replace(
+        audited, outcome='rejected', reason=reason, winner=winner
+    )
+
+
 def _audit(
-    entry: LogEntry,
-    change: TableChange | None,
-    reason: str = '',
-    winner: int | None = None,
+    entry: LogEntry, change: TableChange, before: Mapping[str, StoredRow]
 ) -> AuditEntry:
-    edits = change.edits if change else ()
     return AuditEntry(
         offset=entry.offset,
         time_ms=entry.time_ms,
         record_id=entry.record.id,
-        author=change.author if change else '',
-        keys=tuple(edit.key for edit in edits),
-        outcome='rejected' if reason else 'accepted',
+        author=change.author,
+        keys=tuple(edit.key for edit in change.edits),
+        outcome='accepted',
+        rows=tuple(_audit_row(edit, before) for edit in change.edits),
+        note=change.note,
+    )
+
+
+def _audit_row(edit: RowEdit, before: Mapping[str, StoredRow]) -> AuditRow:
+    stored = before.get(edit.key)
+    # A copy, because the content is a view of the whole record.
+    after = edit.content.copy()
+    return AuditRow(edit.key, stored.row if stored else None, after)
+
+
+def _unreadable(entry: LogEntry, reason: str) -> AuditEntry:
+    return AuditEntry(
+        offset=entry.offset,
+        time_ms=entry.time_ms,
+        record_id=entry.record.id,
+        author='',
+        keys=(),
+        outcome='rejected',
         reason=reason,
-        winner=winner,
     )
--- a/marigoldhoist/components/table/models.py
+++ b/marigoldhoist/components/table/models.py
@@ -4,6 +4,7 @@
 `workspace/session`.
 """
 
+import dataclasses
 import enum
 from typing import Annotated
 
@@ -111,6 +112,14 @@
 NO_ROW = msgspec.Raw(b'null')
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredRow:
+    """A row and the offset of the change that wrote it."""
+
+    revision: int
+    row: AnyRow
+
+
 class RowEdit(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A row's new content as JSON, or `null` to delete it.
 
--- a/marigoldhoist/components/table/state.py
+++ b/marigoldhoist/components/table/state.py
@@ -12,32 +12,26 @@
     WORKSPACE,
 )
 from marigoldhoist.components.table.models import (
-    AnyRow,
     ModelRow,
     ServiceRow,
     SessionRow,
+    StoredRow,
     VersionRow,
     VersionState,
     WorkspaceRow,
 )
+from marigoldhoist.components.table.tombstones import TombstonesByKey
 
 RowT = TypeVar('RowT')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredRow:
-    """A row and the offset of the change that wrote it."""
-
-    revision: int
-    row: AnyRow
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableState:
     """All rows after the change at one offset; never altered."""
 
     revision: int = NO_REVISION
     rows_by_key: dict[str, StoredRow] = dataclasses.field(default_factory=dict)
+    tombstones_by_key: TombstonesByKey = dataclasses.field(default_factory=dict)
 
     @property
     def is_empty(self) -> bool:
@@ -69,6 +63,33 @@
         row = self.version(model, version)
         return row is not None and row.state is VersionState.LIVE
 
+    def is_withdrawn(self, model: str, version: str) -> bool:
+        """Tell whether the version was withdrawn, also if its row is gone."""
+        return f'{VERSION}/{model}/{version}' in self.tombstones_by_key
+
+    def successor_of(
+        self, workspace: str, model: str, version: str, session: str
+    ) -> str | None:
+        """Return the version a session of a version is on by now.
+
+        That is the version itself unless it was withdrawn. A successor that
+        is held is returned as well. None where no version is allowed.
+        """
+        workspace_row = self.workspace(workspace)
+        if workspace_row is None:
+            return None
+        chosen: str | None = version
+        # A successor is withdrawn later than the version it follows, if at
+        # all, so the chain ends.
+        while chosen and self.is_withdrawn(model, chosen):
+            tombstone = self.tombstones_by_key[f'{VERSION}/{model}/{chosen}']
+            chosen = tombstone.next_version(
+                workspace_row, model, f'{workspace}/{session}'
+            )
+        if chosen is None or self.version(model, chosen) is None:
+            return None
+        return chosen
+
     def _row(self, kind: str, name: str, row_type: type[RowT]) -> RowT | None:
         stored = self.rows_by_key.get(f'{kind}/{name}')
         if stored is None or not isinstance(stored.row, row_type):
--- a/marigoldhoist/components/table/validation.py
+++ b/marigoldhoist/components/table/validation.py
@@ -18,11 +18,11 @@
     ModelRow,
     RowEdit,
     SessionRow,
+    StoredRow,
     VersionRow,
     WorkspaceRow,
     row_type_by_kind,
 )
-from marigoldhoist.components.table.state import StoredRow
 
 
 def decode_row(edit: RowEdit) -> AnyRow | None:
@@ -32,7 +32,7 @@
     if row_type is None:
         allowed = ', '.join(row_type_by_kind)
         raise InvalidTableError(f'{edit.key}: kind must be one of {allowed}')
-    if bytes(edit.content) == NO_ROW:
+    if bytes(edit.content) == bytes(NO_ROW):
         return None
     try:
         return msgspec.json.decode(edit.content, type=row_type)
--- /dev/null
+++ b/tests/components/table/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the table component."""
