--- a/marigoldhoist/components/platform_log/service.py
+++ b/marigoldhoist/components/platform_log/service.py
@@ -1,6 +1,7 @@
 """The log service: one feed per followed stream, and appends."""
 
 from functools import partial
+from typing import Protocol
 
 from result import Err, Ok, Result
 
@@ -22,6 +23,17 @@
 from marigoldhoist.core.kernel import BaseService, Kernel
 
 
+class LogAccess(Protocol):
+    """What readers and writers of the log use of its service."""
+
+    feeds_by_stream: dict[str, Feed]
+
+    def append(
+        self, stream: str, records: tuple[Record, ...], timeout_s: float
+    ) -> Result[tuple[int, ...], AppendUnknown]:
+        """Append records; the offsets, or an unknown outcome."""
+
+
 class LogService(BaseService):
     """Feeds of the followed streams, and appends that retry by record id."""
 
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,70 @@
+"""Fakes that tests put in place of the log and the clock."""
+
+import enum
+
+from result import Err, Ok, Result
+
+from marigoldhoist.components.platform_log.const import FOLLOWED_STREAMS
+from marigoldhoist.components.platform_log.errors import AppendUnknown
+from marigoldhoist.components.platform_log.feed import Feed
+from marigoldhoist.components.platform_log.models import Record
+from tools.standins.log import LogStore
+
+BATCH = 500
+
+
+class FakeClock:
+    """Time that moves only when told."""
+
+    def __init__(self) -> None:
+        self.time_s: float = 1000
+
+    def now_ms(self) -> int:
+        """Return wall-clock time in milliseconds."""
+        return int(self.time_s * 1000)
+
+    def monotonic_s(self) -> float:
+        """Return monotonic time in seconds."""
+        return self.time_s
+
+
+class Fault(enum.Enum):
+    """What happens to an append."""
+
+    NONE = 'none'
+    LOST = 'lost'
+    ANSWER_LOST = 'answer_lost'
+    TWICE = 'twice'
+
+
+class FakeLog:
+    """One daemon's access to a log store, with faults."""
+
+    def __init__(self, store: LogStore) -> None:
+        self.store = store
+        self.feeds_by_stream = {name: Feed(name) for name in FOLLOWED_STREAMS}
+        self.fault = Fault.NONE
+        self.is_read_back = True
+
+    def append(
+        self, stream: str, records: tuple[Record, ...], timeout_s: float
+    ) -> Result[tuple[int, ...], AppendUnknown]:
+        """Append as the fault allows, then read back."""
+        if self.fault is Fault.LOST:
+            return Err(AppendUnknown('lost'))
+        offsets = self.store.append(stream, records)
+        if self.fault is Fault.TWICE:
+            self.store.append(stream, records)
+        if self.is_read_back:
+            self.follow(stream)
+        if self.fault is Fault.ANSWER_LOST:
+            return Err(AppendUnknown('answer lost'))
+        return Ok(tuple(offsets))
+
+    def follow(self, stream: str) -> None:
+        """Read up to the end of a stream."""
+        feed = self.feeds_by_stream[stream]
+        while True:
+            reply = self.store.read(stream, feed.next_offset, BATCH, 0)
+            if not feed.offer(reply.entries):
+                return
--- a/tools/standins/log.py
+++ b/tools/standins/log.py
@@ -14,6 +14,7 @@
     ReadReply,
     Record,
 )
+from marigoldhoist.core.clock import SYSTEM_CLOCK, Clock
 from tools.standins.web import WebReply, WebRequest, WebServer, json_reply
 
 MAX_WAIT_S = 10.0
@@ -43,8 +44,9 @@
 class LogStore:
     """Streams of entries, in memory."""
 
-    def __init__(self, seed: int = 1) -> None:
+    def __init__(self, seed: int = 1, clock: Clock = SYSTEM_CLOCK) -> None:
         self.appends = 0
+        self._clock = clock
         self.retention_records = 0
         self._streams: dict[str, StreamContent] = {}
         self._changed = threading.Condition()
@@ -97,8 +99,7 @@
 
     def _add(self, content: StreamContent, record: Record) -> int:
         offset = content.next_offset
-        now_ms = int(time.time() * 1000)
-        content.entries.append(LogEntry(offset, now_ms, record))
+        content.entries.append(LogEntry(offset, self._clock.now_ms(), record))
         return offset
 
     def _expire(self, content: StreamContent) -> None:
