--- a/marigoldhoist/components/leases/service.py
+++ b/marigoldhoist/components/leases/service.py
@@ -1,9 +1,11 @@
 """The lease service: hold leases by name."""
 
+import random
 import uuid
 from functools import partial
 
 from marigoldhoist.components.leases.const import (
+    COMPONENT,
     RELEASE_TIMEOUT_S,
     RENEWALS_PER_TTL,
 )
@@ -32,6 +34,9 @@
         self._kernel = kernel
         self._log = kernel.find(LOG, LogService)
         self._log.feeds_by_stream[WORK_STREAM].add_fold(self.fold.apply)
+        self._log.feeds_by_stream[WORK_STREAM].add_part(
+            COMPONENT, self.fold.dump, self.fold.restore
+        )
         host = kernel.settings.section(DaemonSettings).host
         self._holder = f'{host}/{uuid.uuid4().hex}'
         self._handle_by_name: dict[str, LeaseHandle] = {}
@@ -67,6 +72,8 @@
 
     def _keep(self, handle: LeaseHandle) -> None:
         pause_s = handle.ttl_s / RENEWALS_PER_TTL
+        # Hosts that start together do not claim together.
+        self._kernel.stopping.wait(random.uniform(0, pause_s))
         while not (
             handle.given_up.wait(pause_s) or self._kernel.stopping.is_set()
         ):
--- a/marigoldhoist/components/platform_log/client.py
+++ b/marigoldhoist/components/platform_log/client.py
@@ -50,13 +50,19 @@
         self._settings = settings
         self._pool = urllib3.PoolManager(num_pools=4, maxsize=8, retries=False)
 
-    def read(self, stream: str, offset: int, wait_s: float = 0) -> ReadReply:
+    def read(
+        self,
+        stream: str,
+        offset: int,
+        wait_s: float = 0,
+        limit: int = READ_LIMIT_RECORDS,
+    ) -> ReadReply:
         """Read entries from offset on; wait up to wait_s for the first.
 
         Raises LogUnavailableError or LogRefusedError.
         """
         path = f'/streams/{stream}/records'
-        query = f'from={offset}&limit={READ_LIMIT_RECORDS}&wait_s={wait_s}'
+        query = f'from={offset}&limit={limit}&wait_s={wait_s}'
         return self._call(
             'GET',
             f'{path}?{query}',
--- a/marigoldhoist/components/platform_log/events.py
+++ b/marigoldhoist/components/platform_log/events.py
@@ -12,7 +12,7 @@
     1103,
     'log_shortened',
     'error',
-    'The log ends before the position already folded; state is kept.',
+    'The log lost records that were folded; the state is kept.',
 )
 LOG_GAP = declare_event(
     1104,
@@ -29,3 +29,15 @@
     'warning',
     'A record of an unknown kind or newer format was passed over.',
 )
+LOG_REJOINED = declare_event(
+    1107,
+    'log_rejoined',
+    'warning',
+    'The state was put on the log again after the log had lost its tail.',
+)
+PARTS_FAILED = declare_event(
+    1108,
+    'parts_failed',
+    'error',
+    'A dump could not be restored; the state before it is kept.',
+)
--- a/marigoldhoist/components/platform_log/models.py
+++ b/marigoldhoist/components/platform_log/models.py
@@ -6,6 +6,7 @@
 import msgspec
 
 CURRENT_FORMAT = 1
+NO_OFFSET = -1
 
 
 class Record(msgspec.Struct, frozen=True):
@@ -45,6 +46,33 @@
     offsets: tuple[int, ...]
 
 
+class FeedDump(msgspec.Struct, frozen=True):
+    """The state of every part of a stream before the entry at offset.
+
+    The last id is that of the entry before it. A dump that was adopted
+    after the log had lost its tail is named by the offset it was taken at.
+    """
+
+    offset: int
+    last_id: str
+    dumped_by_part: dict[str, msgspec.Raw]
+    adopted_offset: int = NO_OFFSET
+
+
+class StreamStatus(msgspec.Struct, frozen=True):
+    """How far a stream is folded, and whether the log can be followed."""
+
+    next_offset: int
+    is_log_reachable: bool
+    is_diverged: bool
+
+
+class LogStatus(msgspec.Struct, frozen=True):
+    """The streams this daemon follows."""
+
+    stream_by_name: dict[str, StreamStatus]
+
+
 def new_record(kind: str, body: Any, record_id: str = '') -> Record:
     """Encode a body as a record, under a new id unless one is given."""
     return Record(
--- a/marigoldhoist/components/relay/models.py
+++ b/marigoldhoist/components/relay/models.py
@@ -12,13 +12,19 @@
 
 
 class Fetch(msgspec.Struct, frozen=True):
-    """Ask for entries of a stream from an offset on."""
+    """Ask for entries of a stream from an offset on.
+
+    The last id is that of the entry before it, if there is one; a peer with
+    another one there holds another history.
+    """
 
     stream: str
     offset: int
+    last_id: str = ''
 
 
 class Fetched(msgspec.Struct, frozen=True):
-    """Entries with their offsets, or none where they are too old."""
+    """Entries with their offsets; too old ones need a snapshot."""
 
     entries: tuple[LogEntry, ...]
+    is_too_old: bool = False
--- a/marigoldhoist/components/relay/service.py
+++ b/marigoldhoist/components/relay/service.py
@@ -17,6 +17,8 @@
     POSITIONS_TOPIC,
 )
 from marigoldhoist.components.relay.models import Fetch, Fetched, Positions
+from marigoldhoist.components.snapshots.const import COMPONENT as SNAPSHOTS
+from marigoldhoist.components.snapshots.service import SnapshotService
 from marigoldhoist.core.kernel import BaseService, Kernel
 
 
@@ -27,6 +29,7 @@
         self._kernel = kernel
         self._log = kernel.find(LOG, LogService)
         self._peers = kernel.find(PEERS, PeerService)
+        self._snapshots = kernel.find(SNAPSHOTS, SnapshotService)
         self._ahead: queue.SimpleQueue[tuple[str, str]] = queue.SimpleQueue()
 
     def start(self) -> None:
@@ -59,8 +62,11 @@
         feed = self._log.feeds_by_stream.get(wanted.stream)
         if feed is None:
             return msgspec.json.encode(Fetched(()))
-        entries = feed.entries_from(wanted.offset, FETCH_LIMIT_ENTRIES)
-        return msgspec.json.encode(Fetched(entries))
+        entries = feed.entries_from(
+            wanted.offset, FETCH_LIMIT_ENTRIES, wanted.last_id
+        )
+        is_too_old = feed.is_too_old(wanted.offset)
+        return msgspec.json.encode(Fetched(entries, is_too_old))
 
     def _fetch_all(self) -> None:
         while not self._kernel.stopping.is_set():
@@ -72,8 +78,12 @@
 
     def _fetch(self, peer: str, stream: str) -> None:
         feed = self._log.feeds_by_stream[stream]
-        wanted = msgspec.msgpack.encode(Fetch(stream, feed.next_offset))
+        wanted = msgspec.msgpack.encode(
+            Fetch(stream, feed.next_offset, feed.last_id)
+        )
         reply = self._peers.call(peer, FETCH_TOPIC, wanted, FETCH_TIMEOUT_S)
         if isinstance(reply, Ok) and reply.ok_value:
             fetched = msgspec.json.decode(reply.ok_value, type=Fetched)
+            if fetched.is_too_old and not feed.is_diverged:
+                self._snapshots.fetch_from(peer, stream)
             feed.offer(fetched.entries)
--- /dev/null
+++ b/marigoldhoist/components/snapshots/chunks.py
@@ -0,0 +1,107 @@
+"""Cut a dump into records, and put the records together again."""
+
+import dataclasses
+import zlib
+
+import msgspec
+import xxhash
+
+from marigoldhoist.components.platform_log.models import (
+    FeedDump,
+    LogEntry,
+    Record,
+    new_record,
+)
+from marigoldhoist.components.snapshots.const import CHUNK_BYTES, CHUNK_KIND
+from marigoldhoist.components.snapshots.events import SNAPSHOT_GARBLED
+from marigoldhoist.components.snapshots.models import SnapshotChunk
+from marigoldhoist.core.events import emit
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """A dump put together from its chunks."""
+
+    dump: FeedDump
+    is_to_adopt: bool
+
+
+def packed(dump: FeedDump) -> bytes:
+    """Encode and compress a dump."""
+    return zlib.compress(msgspec.json.encode(dump))
+
+
+def unpacked(content: bytes) -> FeedDump:
+    """Decode a dump; raises zlib.error or msgspec.MsgspecError."""
+    return msgspec.json.decode(zlib.decompress(content), type=FeedDump)
+
+
+def cut(
+    dump: FeedDump, *, is_to_adopt: bool = False, chunk_bytes: int = CHUNK_BYTES
+) -> tuple[Record, ...]:
+    """Return the records of a dump.
+
+    Their ids follow from the content, so that two writers of one state
+    write the same records.
+    """
+    content = packed(dump)
+    digest = xxhash.xxh3_128_hexdigest(content)
+    starts = range(0, len(content), chunk_bytes)
+    prefix = 'adopt' if is_to_adopt else 'snapshot'
+    snapshot_id = f'{prefix}-{dump.offset}-{len(starts)}-{digest}'
+    return tuple(
+        new_record(
+            CHUNK_KIND,
+            SnapshotChunk(
+                snapshot_id,
+                dump.offset,
+                index,
+                len(starts),
+                digest,
+                content[start : start + chunk_bytes],
+                is_to_adopt,
+            ),
+            f'{snapshot_id}-{index}',
+        )
+        for index, start in enumerate(starts)
+    )
+
+
+class Collector:
+    """Puts snapshots together from chunks in any order."""
+
+    def __init__(self) -> None:
+        self._chunks_by_id: dict[str, dict[int, SnapshotChunk]] = {}
+
+    def add(self, entry: LogEntry) -> Snapshot | None:
+        """Take an entry; return the snapshot that it completes, if any."""
+        if entry.record.kind != CHUNK_KIND:
+            return None
+        chunk = msgspec.json.decode(entry.record.body, type=SnapshotChunk)
+        chunks = self._chunks_by_id.setdefault(chunk.snapshot_id, {})
+        chunks[chunk.index] = chunk
+        if len(chunks) < chunk.count:
+            return None
+        self._chunks_by_id.pop(chunk.snapshot_id)
+        content = b''.join(chunks[index].content for index in sorted(chunks))
+        return _checked(chunk, content)
+
+    def forget_before(self, base_offset: int) -> None:
+        """Drop the pieces of snapshots that are older than another."""
+        self._chunks_by_id = {
+            snapshot_id: chunks
+            for snapshot_id, chunks in self._chunks_by_id.items()
+            if next(iter(chunks.values())).base_offset >= base_offset
+        }
+
+
+def _checked(chunk: SnapshotChunk, content: bytes) -> Snapshot | None:
+    if xxhash.xxh3_128_hexdigest(content) != chunk.digest:
+        emit(SNAPSHOT_GARBLED, snapshot=chunk.snapshot_id)
+        return None
+    try:
+        dump = unpacked(content)
+    except (zlib.error, msgspec.MsgspecError) as error:
+        emit(SNAPSHOT_GARBLED, snapshot=chunk.snapshot_id, error=str(error))
+        return None
+    return Snapshot(dump, chunk.is_to_adopt)
--- a/marigoldhoist/components/table/const.py
+++ b/marigoldhoist/components/table/const.py
@@ -16,3 +16,6 @@
 AUDIT_ENTRIES: Final = 1000
 CHANGE_TIMEOUT_S: Final = 5.0
 EVERY_VERSION: Final = '*'
+# As floats, so that a row read back is encoded as it was before.
+NO_LIMIT: Final = float(0)
+NO_TARGET: Final = float(0)
--- /dev/null
+++ b/marigoldhoist/components/table/dump.py
@@ -0,0 +1,60 @@
+"""Dump the table for a snapshot, and load it again."""
+
+import msgspec
+
+from marigoldhoist.components.table.audit import AuditEntry
+from marigoldhoist.components.table.models import (
+    AnyRow,
+    StoredRow,
+    row_type_by_kind,
+)
+from marigoldhoist.components.table.state import TableState
+from marigoldhoist.components.table.tombstones import TombstonesByKey
+
+
+class DumpedRow(msgspec.Struct, frozen=True):
+    """A row and its revision; the key tells its type."""
+
+    revision: int
+    row: msgspec.Raw
+
+
+class DumpedTable(msgspec.Struct, frozen=True):
+    """Everything that the fold of the table has gathered."""
+
+    revision: int
+    rows_by_key: dict[str, DumpedRow]
+    tombstones_by_key: TombstonesByKey
+    audit: tuple[AuditEntry, ...]
+
+
+def dump_table(state: TableState, audit: tuple[AuditEntry, ...]) -> msgspec.Raw:
+    """Encode a table and its audit trail."""
+    rows_by_key = {
+        key: DumpedRow(
+            stored.revision, msgspec.Raw(msgspec.json.encode(stored.row))
+        )
+        for key, stored in state.rows_by_key.items()
+    }
+    dumped = DumpedTable(
+        state.revision, rows_by_key, state.tombstones_by_key, audit
+    )
+    return msgspec.Raw(msgspec.json.encode(dumped))
+
+
+def load_table(
+    dumped: msgspec.Raw,
+) -> tuple[TableState, tuple[AuditEntry, ...]]:
+    """Decode a table and its audit trail; raises msgspec.MsgspecError."""
+    table = msgspec.json.decode(dumped, type=DumpedTable)
+    rows_by_key = {
+        key: StoredRow(stored.revision, _decode(key, stored.row))
+        for key, stored in table.rows_by_key.items()
+    }
+    state = TableState(table.revision, rows_by_key, table.tombstones_by_key)
+    return state, table.audit
+
+
+def _decode(key: str, content: msgspec.Raw) -> AnyRow:
+    kind = key.partition('/')[0]
+    return msgspec.json.decode(content, type=row_type_by_kind[kind])
--- a/marigoldhoist/components/table/fold.py
+++ b/marigoldhoist/components/table/fold.py
@@ -7,19 +7,19 @@
 import collections
 import dataclasses
 from collections.abc import Mapping
-from typing import Literal
 
 import msgspec
 
 from marigoldhoist.components.platform_log.models import LogEntry
+from marigoldhoist.components.table.audit import AuditEntry, AuditRow
 from marigoldhoist.components.table.const import (
     AUDIT_ENTRIES,
     CHANGE_KIND,
     NO_REVISION,
 )
+from marigoldhoist.components.table.dump import dump_table, load_table
 from marigoldhoist.components.table.errors import InvalidTableError
 from marigoldhoist.components.table.models import (
-    AnyRow,
     RowEdit,
     StoredRow,
     TableChange,
@@ -31,33 +31,6 @@
 )
 from marigoldhoist.components.table.validation import check_table, decode_row
 
-Outcome = Literal['accepted', 'rejected']
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AuditRow:
-    """A row before a change, and as the change would have it."""
-
-    key: str
-    before: AnyRow | None
-    after: msgspec.Raw
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AuditEntry:
-    """What became of one change."""
-
-    offset: int
-    time_ms: int
-    record_id: str
-    author: str
-    keys: tuple[str, ...]
-    outcome: Outcome
-    reason: str = ''
-    winner: int | None = None
-    rows: tuple[AuditRow, ...] = ()
-    note: str = ''
-
 
 class LostRaceError(InvalidTableError):
     """Another change wrote the row after this change's author read it."""
@@ -89,6 +62,20 @@
         """Return what became of a change, or none if it was not folded."""
         return self._audit_by_record_id.get(record_id)
 
+    def dump(self) -> msgspec.Raw:
+        """Return the table and its audit trail for a snapshot."""
+        return dump_table(self.state, tuple(self.audit))
+
+    def restore(self, dumped: msgspec.Raw) -> None:
+        """Continue from a snapshot's table and audit trail."""
+        state, trail = load_table(dumped)
+        self.state = state
+        self.audit.clear()
+        self.audit.extend(trail)
+        self._audit_by_record_id = {
+            audited.record_id: audited for audited in trail
+        }
+
     def _judge(self, entry: LogEntry) -> AuditEntry:
         try:
             change = msgspec.json.decode(entry.record.body, type=TableChange)
@@ -163,7 +150,8 @@
     stored = before.get(edit.key)
     # A copy, because the content is a view of the whole record.
     after = edit.content.copy()
-    return AuditRow(edit.key, stored.row if stored else None, after)
+    row = stored.row if stored else None
+    return AuditRow(edit.key, msgspec.Raw(msgspec.json.encode(row)), after)
 
 
 def _unreadable(entry: LogEntry, reason: str) -> AuditEntry:
--- a/marigoldhoist/components/table/models.py
+++ b/marigoldhoist/components/table/models.py
@@ -13,7 +13,9 @@
 from marigoldhoist.components.table.const import (
     EVERY_VERSION,
     MODEL,
+    NO_LIMIT,
     NO_REVISION,
+    NO_TARGET,
     SERVICE,
     SESSION,
     VERSION,
@@ -44,10 +46,10 @@
 class LimitColumns(Row, frozen=True):
     """Limits of a workspace; zero means none."""
 
-    requests_per_s: Amount = 0
+    requests_per_s: Amount = NO_LIMIT
     concurrent: Annotated[int, msgspec.Meta(ge=0)] = 0
-    tokens_per_s: Amount = 0
-    spend_per_day: Amount = 0
+    tokens_per_s: Amount = NO_LIMIT
+    spend_per_day: Amount = NO_LIMIT
 
 
 class WorkspaceRow(Row, frozen=True):
@@ -56,7 +58,7 @@
     key_digests: tuple[Digest, ...]
     versions_by_model: dict[str, tuple[str, ...]] = {}
     services: tuple[str, ...] = ()
-    quality_target: Fraction = 0
+    quality_target: Fraction = NO_TARGET
     first_token_ms: Milliseconds = 30_000
     limits: LimitColumns = LimitColumns()
 
@@ -80,7 +82,7 @@
     """One version of a model; cost is for 1,000 tokens."""
 
     state: VersionState = VersionState.LIVE
-    cost_per_1k_tokens: Amount = 1
+    cost_per_1k_tokens: Amount = 1.0
     successor: str = ''
 
 
--- a/marigoldhoist/components/table/service.py
+++ b/marigoldhoist/components/table/service.py
@@ -8,9 +8,11 @@
 from marigoldhoist.components.platform_log.const import TABLE_STREAM
 from marigoldhoist.components.platform_log.models import LogEntry, new_record
 from marigoldhoist.components.platform_log.service import LogService
+from marigoldhoist.components.table.audit import AuditEntry
 from marigoldhoist.components.table.const import (
     CHANGE_KIND,
     CHANGE_TIMEOUT_S,
+    COMPONENT,
 )
 from marigoldhoist.components.table.errors import (
     ChangeRejected,
@@ -21,11 +23,7 @@
     CHANGE_REJECTED,
     TABLE_CHANGED,
 )
-from marigoldhoist.components.table.fold import (
-    AuditEntry,
-    TableFold,
-    changed_state,
-)
+from marigoldhoist.components.table.fold import TableFold, changed_state
 from marigoldhoist.components.table.models import TableChange, TableStatus
 from marigoldhoist.components.table.state import TableState
 from marigoldhoist.core.events import emit
@@ -42,6 +40,7 @@
         self._log = kernel.find(LOG, LogService)
         self.feed = self._log.feeds_by_stream[TABLE_STREAM]
         self.feed.add_fold(self._apply)
+        self.feed.add_part(COMPONENT, self.fold.dump, self.fold.restore)
 
     @property
     def state(self) -> TableState:
--- a/tests/components/table/test_tombstones.py
+++ b/tests/components/table/test_tombstones.py
@@ -6,8 +6,9 @@
 import pytest
 
 from marigoldhoist.components.platform_log.models import LogEntry, new_record
+from marigoldhoist.components.table.audit import AuditEntry
 from marigoldhoist.components.table.const import CHANGE_KIND
-from marigoldhoist.components.table.fold import AuditEntry, TableFold
+from marigoldhoist.components.table.fold import TableFold
 from marigoldhoist.components.table.models import RowEdit, TableChange
 
 MODEL = 'pult-model'
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,9 +5,12 @@
 from result import Err, Ok, Result
 
 from marigoldhoist.components.platform_log.const import FOLLOWED_STREAMS
-from marigoldhoist.components.platform_log.errors import AppendUnknown
+from marigoldhoist.components.platform_log.errors import (
+    AppendUnknown,
+    LogUnavailableError,
+)
 from marigoldhoist.components.platform_log.feed import Feed
-from marigoldhoist.components.platform_log.models import Record
+from marigoldhoist.components.platform_log.models import ReadReply, Record
 from tools.standins.log import LogStore
 
 BATCH = 500
@@ -45,6 +48,7 @@
         self.feeds_by_stream = {name: Feed(name) for name in FOLLOWED_STREAMS}
         self.fault = Fault.NONE
         self.is_read_back = True
+        self.is_down = False
 
     def append(
         self, stream: str, records: tuple[Record, ...], timeout_s: float
@@ -61,6 +65,26 @@
             return Err(AppendUnknown('answer lost'))
         return Ok(tuple(offsets))
 
+    def append_diverged(
+        self, stream: str, records: tuple[Record, ...], timeout_s: float
+    ) -> Result[tuple[int, ...], AppendUnknown]:
+        """Append without looking at the feed."""
+        if self.fault is Fault.LOST:
+            return Err(AppendUnknown('lost'))
+        return Ok(tuple(self.store.append(stream, records)))
+
+    def read(
+        self,
+        stream: str,
+        offset: int,
+        wait_s: float = 0,
+        limit: int = BATCH,
+    ) -> ReadReply:
+        """Read without waiting; fails while the log is down."""
+        if self.is_down:
+            raise LogUnavailableError('down')
+        return self.store.read(stream, offset, limit, 0)
+
     def follow(self, stream: str) -> None:
         """Read up to the end of a stream."""
         feed = self.feeds_by_stream[stream]
--- a/tools/world/world.py
+++ b/tools/world/world.py
@@ -103,10 +103,13 @@
         )
         return plain
 
-    def add_daemon(self, host: str, domain: str) -> Kernel:
-        """Start a daemon and wait until it has a table."""
+    def add_daemon(
+        self, host: str, domain: str, log_faults: LogFaults | None = None
+    ) -> Kernel:
+        """Start a daemon, with faults of the log as it meets it."""
         address = next_address()
         own_log = LogServer(next_address(), LOG_PORT, self.log.store)
+        own_log.faults = log_faults or LogFaults()
         self.log_by_host[host] = own_log
         self._serve(own_log.server)
         text = settings_text(
