Add the demo: nine daemons under load, with a withdrawal, a kill and a stop

Cause: the promises need counting at the stand-ins and the callers before the mechanisms that keep them are written, so that each is seen to fail first.

Change: script/demo starts 20 processes on loopback, sends chats, sessions, orders (one in four to two daemons at once) and stock reads, withdraws a version, kills a daemon, stops another as planned, and counts.

Conclusion: the demo fails for the two promises that have no mechanism yet.

--- /dev/null
+++ b/tools/demo/load.py
@@ -0,0 +1,123 @@
+"""The callers: chats, sessions, orders and stock reads."""
+
+import dataclasses
+import random
+import threading
+import time
+from collections.abc import Callable, Iterator
+
+import urllib3
+
+from tools.demo.balancer import Balancer, CallerPool
+from tools.demo.const import ORDER_PATH, PAUSE_S, RESENDS, SERVICE, SESSIONS
+from tools.demo.plan import WORKSPACE_KEYS
+from tools.world.caller import Caller, CallerReply
+from tools.world.request_ids import timed_id
+
+RETRY_STATUS = frozenset((429, 500, 502, 503, 504))
+HTTP_OK = 200
+
+
+@dataclasses.dataclass(slots=True)
+class Sent:
+    """One request as its caller knows it."""
+
+    kind: str
+    workspace: str
+    request_id: str
+    session: str = ''
+    served: str = ''
+    outcome: str = 'lost'
+    is_own_answer: bool = True
+    ended_s: float = 0
+    sends: int = 0
+
+
+Send = Callable[[Caller], CallerReply]
+
+
+class LoadCaller:
+    """One thread of callers."""
+
+    def __init__(self, balancer: Balancer, seed: int) -> None:
+        self._balancer = balancer
+        self._pool = CallerPool(balancer)
+        self._rng = random.Random(seed)
+        self.sent: list[Sent] = []
+
+    def run(self, stopping: threading.Event) -> None:
+        """Send one request after another until told to stop."""
+        while not stopping.wait(self._rng.uniform(0, PAUSE_S)):
+            request = self._next_request()
+            self.sent.append(request)
+            self._carry_out(request)
+            request.ended_s = time.time()
+
+    def _next_request(self) -> Sent:
+        workspace = self._rng.choice(sorted(WORKSPACE_KEYS))
+        kind = self._rng.choices(
+            ('chat', 'session', 'order', 'stock'), (40, 35, 15, 10)
+        )[0]
+        session = ''
+        if kind == 'session':
+            session = f'director-{self._rng.randrange(SESSIONS)}'
+        return Sent(kind, workspace, timed_id(), session)
+
+    def _carry_out(self, request: Sent) -> None:
+        hosts = self._balancer.pick(2)
+        twice = request.kind == 'order' and self._rng.random() < 1 / 4
+        if twice:
+            other = threading.Thread(
+                target=self._send_until_answered, args=(request, hosts[1:])
+            )
+            other.start()
+            self._send_until_answered(request, hosts[:1])
+            other.join()
+        else:
+            self._send_until_answered(request, hosts[:1])
+
+    def _send_until_answered(self, request: Sent, first: list[str]) -> None:
+        for host in self._hosts_to_try(first):
+            caller = self._pool.caller(host, WORKSPACE_KEYS[request.workspace])
+            if caller is not None and self._send_once(request, caller):
+                return
+
+    def _hosts_to_try(self, first: list[str]) -> Iterator[str]:
+        yield from first
+        for _ in range(RESENDS):
+            time.sleep(PAUSE_S)
+            yield from self._balancer.pick()
+
+    def _send_once(self, request: Sent, caller: Caller) -> bool:
+        request.sends += 1
+        try:
+            reply = _send(request, caller)
+        except urllib3.exceptions.HTTPError:
+            return False
+        return _note(request, reply)
+
+
+def _send(request: Sent, caller: Caller) -> CallerReply:
+    headers = {'X-Request-Id': request.request_id}
+    if request.session:
+        headers['X-Session'] = request.session
+    if request.kind == 'order':
+        return caller.call_service(ORDER_PATH, headers)
+    if request.kind == 'stock':
+        return caller.call_service(f'{SERVICE}/stock', headers)
+    return caller.chat(headers=headers, max_tokens=15)
+
+
+def _note(request: Sent, reply: CallerReply) -> bool:
+    """Note a reply; False where the caller should send again."""
+    if reply.status == HTTP_OK:
+        is_chat = request.kind in {'chat', 'session'}
+        if is_chat and not reply.is_whole_stream:
+            return False
+        request.is_own_answer = request.request_id.encode() in reply.body
+        request.served = reply.served_version
+        request.outcome = 'answered'
+        return True
+    if request.outcome != 'answered':
+        request.outcome = reply.verdict or 'lost'
+    return reply.status not in RETRY_STATUS
--- /dev/null
+++ b/tools/demo/run.py
@@ -0,0 +1,172 @@
+"""Run the demo: start everything, drive it, break it, count."""
+
+import dataclasses
+import pathlib
+import sys
+import threading
+import time
+
+from marigoldhoist.components.hosts.models import HostEntry, HostRole
+from marigoldhoist.components.platform_log.models import new_record
+from marigoldhoist.components.table.const import CHANGE_KIND
+from tools.demo.balancer import Balancer
+from tools.demo.const import (
+    CALLERS,
+    ENTRY_PORT,
+    HOSTS_PORT,
+    KILL_AT_S,
+    LOAD_S,
+    LOG_PORT,
+    MODEL,
+    SETTLE_TIMEOUT_S,
+    STOP_AT_S,
+    WITHDRAW_AT_S,
+    WITHDRAWN,
+)
+from tools.demo.load import LoadCaller, Sent
+from tools.demo.plan import make_plan, starting_rows, write_settings
+from tools.demo.platform import PlatformClient
+from tools.demo.probe import Probe
+from tools.demo.processes import Processes
+from tools.demo.report import Counter, Report
+from tools.world.samples import change_of
+
+POLL_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DemoEvents:
+    """When the version was withdrawn, and how the planned stop ended."""
+
+    withdrawn_s: float
+    stop_exit_code: int
+
+
+class Demo:
+    """One run of the demo."""
+
+    def __init__(
+        self, processes: Processes, folder: pathlib.Path, daemon: list[str]
+    ) -> None:
+        self._processes = processes
+        self._folder = folder
+        self._daemon = daemon
+        self._plan = make_plan()
+        self._platform = PlatformClient(self._plan)
+        self._daemons = self._plan.with_role(HostRole.DAEMON)
+        self._balancer = Balancer(self._daemons, seed=1)
+        self._started_s = time.monotonic()
+
+    def run(self) -> Report:
+        """Return the figures."""
+        self._start()
+        stopping = threading.Event()
+        callers = [LoadCaller(self._balancer, seed) for seed in range(CALLERS)]
+        probe = Probe(self._platform, self._balancer)
+        works = [caller.run for caller in callers]
+        works.append(probe.run)
+        threads = [
+            threading.Thread(target=work, args=(stopping,)) for work in works
+        ]
+        for starting in threads:
+            starting.start()
+        events = self._break_things()
+        stopping.set()
+        for ending in threads:
+            ending.join()
+        sent = [one for caller in callers for one in caller.sent]
+        return self._count(sent, events, probe)
+
+    def _start(self) -> None:
+        self._tell('starting the platform, 6 engines and 3 plain services')
+        platform = self._plan.platform
+        self._processes.start_standin('log', 'log', platform, LOG_PORT)
+        self._processes.start_standin('hosts', 'hosts', platform, HOSTS_PORT)
+        for engine in self._plan.with_role(HostRole.ENGINE):
+            self._start_upstream(engine, 'engine')
+        for service in self._plan.with_role(HostRole.SERVICE):
+            self._start_upstream(service, 'plain')
+        self._platform.wait_for(f'{self._plan.log_url}/streams/table/records')
+        self._platform.wait_for(f'{self._plan.hosts_url}/hosts')
+        self._append(change_of(starting_rows()))
+        self._platform.list_hosts(self._plan.hosts)
+        self._start_daemons()
+
+    def _start_daemons(self) -> None:
+        self._tell('starting 9 daemons in 3 failure domains')
+        files_by_host = write_settings(self._plan, self._folder)
+        for host, path in files_by_host.items():
+            self._processes.start(host, *self._daemon, 'serve', str(path))
+        for daemon in self._daemons:
+            self._platform.wait_for(f'http://{daemon.address}:{ENTRY_PORT}/')
+
+    def _start_upstream(self, host: HostEntry, kind: str) -> None:
+        self._processes.start_standin(host.host, kind, host.address, host.port)
+
+    def _break_things(self) -> DemoEvents:
+        started_s = time.monotonic()
+        self._tell(f'{CALLERS} callers begin')
+        _sleep_until(started_s + WITHDRAW_AT_S)
+        self._tell(f'withdrawing {MODEL}/{WITHDRAWN}')
+        self._append(
+            change_of(
+                {
+                    f'version/{MODEL}/{WITHDRAWN}': {
+                        'state': 'withdrawn',
+                        'cost_per_1k_tokens': 4,
+                    }
+                },
+                base_revision=0,
+            )
+        )
+        withdrawn_s = time.time()
+        _sleep_until(started_s + KILL_AT_S)
+        killed, stopped = self._daemons[0].host, self._daemons[-1].host
+        self._tell(f'killing {killed}')
+        self._processes.kill(killed)
+        self._leave(killed)
+        _sleep_until(started_s + STOP_AT_S)
+        self._tell(f'planned stop of {stopped}')
+        self._processes.ask_to_stop(stopped)
+        self._balancer.take_off(stopped)
+        exit_code = self._processes.wait(stopped)
+        self._leave(stopped)
+        _sleep_until(started_s + LOAD_S)
+        return DemoEvents(withdrawn_s, exit_code)
+
+    def _leave(self, host: str) -> None:
+        """Take a daemon off the balancer and the platform's list."""
+        self._balancer.take_off(host)
+        remaining = set(self._balancer.hosts)
+        self._platform.list_hosts(
+            tuple(
+                entry
+                for entry in self._plan.hosts
+                if entry.role is not HostRole.DAEMON or entry.host in remaining
+            )
+        )
+
+    def _append(self, change: object) -> int:
+        return self._platform.append_table(new_record(CHANGE_KIND, change))
+
+    def _count(
+        self, sent: list[Sent], events: DemoEvents, probe: Probe
+    ) -> Report:
+        self._tell(f'{len(sent)} requests sent; counting')
+        counter = Counter(self._plan, self._platform)
+        deadline_s = time.monotonic() + SETTLE_TIMEOUT_S
+        while counter.unbilled(sent) and time.monotonic() < deadline_s:
+            time.sleep(POLL_S)
+        report = counter.count(sent, events.withdrawn_s)
+        report.change_in_force_s_max = round(probe.longest_s, 3)
+        report.planned_stop_exit_code = events.stop_exit_code
+        return report
+
+    def _tell(self, line: str) -> None:
+        elapsed_s = time.monotonic() - self._started_s
+        sys.stdout.write(f'{elapsed_s:5.1f} s  {line}\n')
+        sys.stdout.flush()
+
+
+def _sleep_until(moment_s: float) -> None:
+    time.sleep(max(0, moment_s - time.monotonic()))
