Let operators see the whole fleet, wait for a change, and read references

Cause: `table withdraw` reported acceptance but not where it is in force, and status showed one daemon.

Change: GET /fleet asks linked daemons over a peer topic and names the listed ones that do not answer; commands wait on it and print aligned columns; a metrics stage counts requests, tries and tokens; EVENTS.md and the settings reference are generated, and a test fails where they differ from the code.

Conclusion: withdraw ends with "in force at every daemon" or names the rest.

--- a/marigoldhoist/cli/commands.py
+++ b/marigoldhoist/cli/commands.py
@@ -1,6 +1,5 @@
 """The commands; each public method is one."""
 
-import json
 import pathlib
 import signal
 import threading
@@ -9,15 +8,20 @@
 
 from marigoldhoist import __version__
 from marigoldhoist.cli.client import OperatorClient
-from marigoldhoist.cli.table_commands import TableCommands
+from marigoldhoist.cli.fleet_commands import print_fleet
+from marigoldhoist.cli.table_commands import TableCommands, print_audit
+from marigoldhoist.cli.tables import print_json
 from marigoldhoist.core.events import configure_logs
 from marigoldhoist.core.identity import DaemonSettings
 from marigoldhoist.core.kernel import Kernel, load_components
-from marigoldhoist.core.settings import load_settings
+from marigoldhoist.core.settings import Settings, load_settings
 
 
 class Commands:
-    """Run a daemon, or operate daemons through their operator port."""
+    """Run a daemon, or operate daemons through their operator port.
+
+    Exit codes: 0 done, 1 rejected, 2 usage, 3 outcome unknown.
+    """
 
     def __init__(self) -> None:
         self.table = TableCommands()
@@ -28,14 +32,12 @@
 
     def check(self, file: str) -> None:
         """Check a settings file without starting."""
-        load_components()
-        load_settings(pathlib.Path(file))
+        _load(file)
         print(f'{file}: ok')
 
     def serve(self, file: str) -> None:
         """Run a daemon until it is told to stop by SIGTERM or SIGINT."""
-        load_components()
-        settings = load_settings(pathlib.Path(file))
+        settings = _load(file)
         daemon = settings.section(DaemonSettings)
         configure_logs(daemon.log_level, daemon.host)
         kernel = Kernel(settings)
@@ -48,25 +50,26 @@
         kernel.stop()
 
     def status(self, json: bool = False) -> None:
-        """Show the daemon at a glance."""
-        show(OperatorClient().get('/status'), json)
+        """Show every daemon that can be reached, at a glance."""
+        fleet = OperatorClient().get('/fleet')
+        _show(fleet, json, print_fleet)
 
     def audit(self, json: bool = False) -> None:
         """Show what became of each change to the table."""
-        show(OperatorClient().get('/audit'), json)
+        _show(OperatorClient().get('/audit'), json, print_audit)
 
 
-def _set(event: threading.Event, *_: object) -> None:
-    event.set()
+def _load(file: str) -> Settings:
+    load_components()
+    return load_settings(pathlib.Path(str(file)))
 
 
-def show(content: Any, as_json: bool) -> None:
-    """Print content as JSON, or as lines for people."""
+def _show(content: Any, as_json: bool, print_human: Any) -> None:
     if as_json:
-        print(json.dumps(content))
-        return
-    entries = content if isinstance(content, list) else [content]
-    for entry in entries:
-        for name, shown in entry.items():
-            print(f'{name:24} {shown}')
-        print()
+        print_json(content)
+    else:
+        print_human(content)
+
+
+def _set(event: threading.Event, *_: object) -> None:
+    event.set()
--- a/marigoldhoist/cli/table_commands.py
+++ b/marigoldhoist/cli/table_commands.py
@@ -1,15 +1,22 @@
 """Commands on the table."""
 
+import datetime
 import getpass
-import json
 import sys
 from typing import Any
 
 from marigoldhoist.cli.client import OperatorClient
-from marigoldhoist.cli.const import EXIT_BY_OUTCOME, EXIT_UNKNOWN
+from marigoldhoist.cli.const import (
+    EXIT_BY_OUTCOME,
+    EXIT_UNKNOWN,
+    MS_PER_S,
+    NO_REVISION,
+)
 from marigoldhoist.cli.errors import CommandError
+from marigoldhoist.cli.fleet_commands import wait_in_force
+from marigoldhoist.cli.tables import print_columns, print_json
 
-NO_REVISION = -1
+Edit = dict[str, Any]
 
 
 class TableCommands:
@@ -17,63 +24,115 @@
 
     def show(self, json: bool = False) -> None:
         """Print the table in force."""
-        print_table(OperatorClient().get('/table'), json)
-
-    def set(self, key: str, row: Any, note: str = '') -> None:
-        """Write one row, given as JSON."""
+        table = OperatorClient().get('/table')
+        if json:
+            print_json(table)
+            return
+        print(f'revision {table["revision"]}')
+        print_columns(
+            ('key', 'revision', 'row'),
+            (
+                (shown['key'], shown['revision'], shown['row'])
+                for shown in table['rows']
+            ),
+        )
+
+    def set(
+        self, key: str, row: Any, note: str = '', json: bool = False
+    ) -> None:
+        """Write one row, given as JSON; null deletes it."""
+        if row is not None and not isinstance(row, dict):
+            raise CommandError(f'row must be a JSON object, not {row!r}')
         client = OperatorClient()
-        edit = {
-            'key': key,
-            'content': row,
-            'base_revision': revision_of(client, key),
-        }
-        submit(client, [edit], note)
-
-    def withdraw(self, model: str, version: str, note: str = '') -> None:
-        """Withdraw a version, so that it gets no new work."""
+        stored = _find_row(client, key)
+        edit = _edit(key, row, stored)
+        sys.exit(_submit(client, [edit], note, json))
+
+    def withdraw(
+        self, model: str, version: str, note: str = '', json: bool = False
+    ) -> None:
+        """Withdraw a version and wait until every daemon has it in force."""
         client = OperatorClient()
         key = f'version/{model}/{version}'
-        stored = find_row(client, key)
+        stored = _find_row(client, key)
         if stored is None:
             raise CommandError(f'no row {key}')
-        edit = {
-            'key': key,
-            'content': stored['row'] | {'state': 'withdrawn'},
-            'base_revision': stored['revision'],
-        }
-        submit(client, [edit], note)
-
-
-def find_row(client: OperatorClient, key: str) -> dict[str, Any] | None:
-    """Return a row of the table as the daemon shows it."""
+        edit = _edit(key, stored['row'] | {'state': 'withdrawn'}, stored)
+        sys.exit(_submit(client, [edit], note, json))
+
+    def history(self, key: str = '', json: bool = False) -> None:
+        """Show the changes to one row, or to all."""
+        audited = [
+            entry
+            for entry in OperatorClient().get('/audit')
+            if not key or key in entry['keys']
+        ]
+        if json:
+            print_json(audited)
+        else:
+            print_audit(audited)
+
+
+def print_audit(entries: list[dict[str, Any]]) -> None:
+    """Print one line for each change."""
+    print_columns(
+        ('offset', 'time', 'author', 'outcome', 'rows', 'reason'),
+        (
+            (
+                entry['offset'],
+                _shown_time(entry['time_ms']),
+                entry['author'],
+                entry['outcome'],
+                ' '.join(entry['keys']),
+                entry['reason'],
+            )
+            for entry in entries
+        ),
+    )
+
+
+def _shown_time(time_ms: int) -> str:
+    moment = datetime.datetime.fromtimestamp(time_ms / MS_PER_S, datetime.UTC)
+    return moment.isoformat(timespec='seconds')
+
+
+def _find_row(client: OperatorClient, key: str) -> dict[str, Any] | None:
     for shown in client.get('/table')['rows']:
         if shown['key'] == key:
             return dict(shown)
     return None
 
 
-def revision_of(client: OperatorClient, key: str) -> int:
-    """Return the revision of a row, or that of no row."""
-    stored = find_row(client, key)
-    return stored['revision'] if stored else NO_REVISION
+def _edit(key: str, row: Any, stored: dict[str, Any] | None) -> Edit:
+    revision = stored['revision'] if stored else NO_REVISION
+    return {'key': key, 'content': row, 'base_revision': revision}
 
 
-def submit(
-    client: OperatorClient, edits: list[dict[str, Any]], note: str
-) -> None:
-    """Send a change; the exit code tells what became of it."""
+def _submit(
+    client: OperatorClient, edits: list[Edit], note: str, as_json: bool
+) -> int:
+    """Send a change, say what became of it and return the exit code."""
     change = {'author': getpass.getuser(), 'edits': edits, 'note': note}
     answer = client.post('/table', change)
-    outcome = answer['outcome']
-    print(json.dumps(answer))
-    sys.exit(EXIT_BY_OUTCOME.get(outcome, EXIT_UNKNOWN))
+    if answer['outcome'] == 'accepted':
+        answer['not_in_force_at'] = wait_in_force(client, answer['offset'])
+    if as_json:
+        print_json(answer)
+    else:
+        _tell(answer)
+    return EXIT_BY_OUTCOME.get(answer['outcome'], EXIT_UNKNOWN)
 
 
-def print_table(table: dict[str, Any], as_json: bool) -> None:
-    """Print the table as JSON, or a line for each row."""
-    if as_json:
-        print(json.dumps(table))
+def _tell(answer: dict[str, Any]) -> None:
+    outcome = answer['outcome']
+    if outcome != 'accepted':
+        winner = answer['winner']
+        by_whom = '' if winner is None else f' (winner: offset {winner})'
+        print(f'{outcome}: {answer["reason"]}{by_whom}')
         return
-    print(f'revision {table["revision"]}')
-    for shown in table['rows']:
-        print(f'{shown["key"]:40} {shown["revision"]:8} {shown["row"]}')
+    print(f'accepted at offset {answer["offset"]}')
+    if answer['not_in_force_at']:
+        hosts = ', '.join(answer['not_in_force_at'])
+        print(f'not known to be in force at: {hosts}')
+    else:
+        print('in force at every daemon')
--- /dev/null
+++ b/marigoldhoist/cli/tables.py
@@ -0,0 +1,25 @@
+"""Print records as aligned columns."""
+
+import json
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+GAP = '  '
+
+
+def print_json(content: Any) -> None:
+    """Print content as one line of JSON."""
+    print(json.dumps(content))
+
+
+def print_columns(names: Sequence[str], rows: Iterable[Sequence[Any]]) -> None:
+    """Print a heading and one line for each row."""
+    lines = [tuple(names), *(tuple(map(str, row)) for row in rows)]
+    widths = [
+        max(len(line[column]) for line in lines) for column in range(len(names))
+    ]
+    for line in lines:
+        padded = (
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        )
+        print(GAP.join(padded).rstrip())
--- /dev/null
+++ b/marigoldhoist/components/metrics/service.py
@@ -0,0 +1,65 @@
+"""Metrics of every request that passes dispatch."""
+
+from marigoldhoist.components.dispatch.const import COMPONENT as DISPATCH
+from marigoldhoist.components.dispatch.service import DispatchService
+from marigoldhoist.components.dispatch.stages import (
+    Attempt,
+    Outcome,
+    Stage,
+)
+from marigoldhoist.components.metrics.const import (
+    ANSWERED,
+    CUT,
+    STAGE_ORDER,
+)
+from marigoldhoist.core.exchange import CallerRequest
+from marigoldhoist.core.kernel import BaseService, Kernel
+
+
+class RequestMetrics(Stage):
+    """Counts outcomes, tries and tokens, and times answers."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        metrics = kernel.metrics
+        self._requests = metrics.counter(
+            'requests', 'Requests by how they ended.', ('outcome',)
+        )
+        self._attempts = metrics.counter(
+            'attempts', 'Tries at replicas by verdict.', ('verdict',)
+        )
+        self._tokens = metrics.counter(
+            'tokens', 'Tokens delivered.', ('serving',)
+        )
+        self._first_token = metrics.latency(
+            'first_token_seconds', 'Time from a try to its first bytes.'
+        )
+        self._duration = metrics.latency(
+            'answer_seconds', 'Time from a try to the end of its answer.'
+        )
+
+    def attempted(self, _request: CallerRequest, attempt: Attempt) -> None:
+        """Count one try."""
+        self._attempts.labels(attempt.verdict.value).inc()
+        if attempt.first_token_s:
+            self._first_token.record(attempt.first_token_s)
+            self._duration.record(attempt.duration_s)
+
+    def settle(self, _request: CallerRequest, outcome: Outcome) -> None:
+        """Count one ended request."""
+        self._requests.labels(_outcome_name(outcome)).inc()
+        if outcome.tokens:
+            self._tokens.labels(outcome.serving).inc(outcome.tokens)
+
+
+class MetricsService(BaseService):
+    """Adds the metrics stage to dispatch."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        stage = RequestMetrics(kernel)
+        kernel.find(DISPATCH, DispatchService).add_stage(STAGE_ORDER, stage)
+
+
+def _outcome_name(outcome: Outcome) -> str:
+    if outcome.failure is not None:
+        return outcome.failure.code.value
+    return ANSWERED if outcome.is_whole else CUT
--- a/marigoldhoist/components/operator/models.py
+++ b/marigoldhoist/components/operator/models.py
@@ -14,9 +14,17 @@
     failure_domain: str
     version: str
     is_ready: bool
+    table_revision: int
     services_by_name: dict[str, Any]
 
 
+class Fleet(msgspec.Struct, frozen=True):
+    """All daemons that answered, and those listed that did not."""
+
+    daemons: tuple[Status, ...]
+    unreachable: tuple[str, ...]
+
+
 class ShownRow(msgspec.Struct, frozen=True):
     """A row of the table and the revision to name when changing it."""
 
--- a/marigoldhoist/components/operator/service.py
+++ b/marigoldhoist/components/operator/service.py
@@ -5,6 +5,8 @@
 from result import Ok
 
 from marigoldhoist import __version__
+from marigoldhoist.components.hosts.const import COMPONENT as HOSTS
+from marigoldhoist.components.hosts.service import HostService
 from marigoldhoist.components.operator.app import (
     OK,
     TEXT_TYPE,
@@ -15,9 +17,11 @@
 )
 from marigoldhoist.components.operator.const import (
     MAX_BODY_BYTES,
+    STATUS_TOPIC,
     STOP_TIMEOUT_S,
     THREADS,
 )
+from marigoldhoist.components.operator.fleet import FleetView
 from marigoldhoist.components.operator.models import (
     ChangeOutcome,
     ShownRow,
@@ -25,6 +29,8 @@
     Status,
 )
 from marigoldhoist.components.operator.settings import OperatorSettings
+from marigoldhoist.components.peers.const import COMPONENT as PEERS
+from marigoldhoist.components.peers.service import PeerService
 from marigoldhoist.components.table.const import COMPONENT as TABLE
 from marigoldhoist.components.table.errors import ChangeRejected
 from marigoldhoist.components.table.models import TableChange
@@ -41,6 +47,8 @@
         self._daemon = kernel.settings.section(DaemonSettings)
         settings = kernel.settings.section(OperatorSettings)
         self._table = kernel.find(TABLE, TableService)
+        self._peers = kernel.find(PEERS, PeerService)
+        self._fleet = FleetView(kernel.find(HOSTS, HostService), self._peers)
         self.app = OperatorApp(settings)
         self._add_routes()
         self._server = wsgi.Server(
@@ -49,6 +57,13 @@
         self._server.shutdown_timeout = STOP_TIMEOUT_S
         self._server.max_request_body_size = MAX_BODY_BYTES
 
+    def start(self) -> None:
+        """Answer peers that ask for this daemon's status."""
+        self._peers.subscribe(
+            STATUS_TOPIC,
+            lambda *_: msgspec.json.encode(self._own_status()),
+        )
+
     def ready(self) -> None:
         """Accept operators, now that every component is started."""
         self._server.prepare()
@@ -70,6 +85,7 @@
         self.app.add('GET /ready', self._show_ready, is_open=True)
         self.app.add('GET /metrics', self._show_metrics)
         self.app.add('GET /status', self._show_status)
+        self.app.add('GET /fleet', self._show_fleet)
         self.app.add('GET /table', self._show_table)
         self.app.add('POST /table', self._change_table)
         self.app.add('GET /audit', self._show_audit)
@@ -83,14 +99,19 @@
         return json_page({'ready': False}, UNAVAILABLE)
 
     def _show_status(self, _body: bytes) -> Page:
-        return json_page(
-            Status(
-                host=self._daemon.host,
-                failure_domain=self._daemon.failure_domain,
-                version=__version__,
-                is_ready=self.is_ready,
-                services_by_name=self._service_status(),
-            )
+        return json_page(self._own_status())
+
+    def _show_fleet(self, _body: bytes) -> Page:
+        return json_page(self._fleet.collect(self._own_status()))
+
+    def _own_status(self) -> Status:
+        return Status(
+            host=self._daemon.host,
+            failure_domain=self._daemon.failure_domain,
+            version=__version__,
+            is_ready=self.is_ready,
+            table_revision=self._table.state.revision,
+            services_by_name=self._service_status(),
         )
 
     def _service_status(self) -> dict[str, msgspec.Struct]:
--- /dev/null
+++ b/tools/reference/__init__.py
@@ -0,0 +1,1 @@
+"""Write the reference pages that are generated from the code."""
