--- a/tools/reference/settings.py
+++ b/tools/reference/settings.py
@@ -47,9 +47,10 @@
 
 
 def _type(field: dict[str, Any]) -> str:
-    if '$ref' in field:
-        return str(field['$ref']).rpartition('/')[2]
-    return str(field.get('type', 'any'))
+    reference = field.get('$ref')
+    if reference is None:
+        return str(field.get('type', 'any'))
+    return str(reference).rpartition('/')[2]
 
 
 def _allowed(field: dict[str, Any]) -> str:
