Choose replicas by lagging reports and own in-flight counts

Cause: the choice looked only at this daemon's own in-flight counts and at the whole fleet; reports were not used and cost grew with the fleet. Change: ReplicaView, LoadContext and pick_replica(views, context), pure, with an injected source of chance; a rendezvous subset of 16 replicas a daemon.

--- a/marigoldhoist/components/routing/const.py
+++ b/marigoldhoist/components/routing/const.py
@@ -5,4 +5,12 @@
 COMPONENT: Final = 'routing'
 
 HASH_RANGE: Final = 1 << 64
-CANDIDATES: Final = 2
+
+SLOW_START_S: Final = 30.0
+MIN_WARM_SHARE: Final = 0.1
+SPILL_MARGIN: Final = 0.5
+AFFINITY_BONUS: Final = 0.25
+AFFINITY_BOUND: Final = 1.25
+SUBSET_NEAR_REPLICAS: Final = 12
+SUBSET_FAR_REPLICAS: Final = 4
+DEFAULT_SERVICE_TIME_S: Final = 3.0
--- a/marigoldhoist/components/routing/service.py
+++ b/marigoldhoist/components/routing/service.py
@@ -5,7 +5,13 @@
 
 from result import Err, Ok, Result
 
-from marigoldhoist.components.routing.replicas import pick_replica
+from marigoldhoist.components.routing.const import DEFAULT_SERVICE_TIME_S
+from marigoldhoist.components.routing.loads import LoadContext, replica_views
+from marigoldhoist.components.routing.replicas import (
+    PickContext,
+    pick_replica,
+)
+from marigoldhoist.components.routing.subsets import replica_subset
 from marigoldhoist.components.routing.versions import (
     pick_by_weight,
     usable_weights,
@@ -15,6 +21,7 @@
 from marigoldhoist.components.upstreams.const import COMPONENT as UPSTREAMS
 from marigoldhoist.components.upstreams.models import Replica
 from marigoldhoist.components.upstreams.service import UpstreamService
+from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
 from marigoldhoist.core.exchange import CallerRequest
 from marigoldhoist.core.identity import DaemonSettings
@@ -25,10 +32,11 @@
     """Chooses versions by the table and replicas by load."""
 
     def __init__(self, kernel: Kernel) -> None:
-        self._domain = kernel.settings.section(DaemonSettings).failure_domain
+        daemon = kernel.settings.section(DaemonSettings)
+        self._host = daemon.host
+        self._picking = PickContext(daemon.failure_domain, random.Random())
         self._table = kernel.find(TABLE, TableService)
         self._upstreams = kernel.find(UPSTREAMS, UpstreamService)
-        self._rng = random.Random()
 
     def choose_version(
         self, request: CallerRequest
@@ -49,12 +57,14 @@
         self, serving: str, tried: Container[str] = ()
     ) -> Result[Replica, RequestFailure]:
         """Choose a replica that serves the name and was not tried yet."""
-        replicas = [
-            replica
-            for replica in self._upstreams.replicas_serving(serving)
-            if replica.host not in tried
-        ]
-        replica = pick_replica(replicas, self._domain, self._rng)
+        replicas = replica_subset(
+            self._upstreams.replicas_serving(serving),
+            self._host,
+            self._picking.failure_domain,
+        )
+        replica = self._pick(
+            [replica for replica in replicas if replica.host not in tried]
+        )
         if replica is None:
             return Err(
                 RequestFailure(
@@ -64,3 +74,14 @@
                 )
             )
         return Ok(replica)
+
+    def _pick(self, replicas: list[Replica]) -> Replica | None:
+        context = LoadContext(
+            now_s=SYSTEM_CLOCK.monotonic_s(),
+            service_time_s=DEFAULT_SERVICE_TIME_S,
+        )
+        views = replica_views(replicas, context)
+        picked = pick_replica(views, self._picking)
+        if picked is None:
+            return None
+        return next(one for one in replicas if one.host == picked.host)
--- a/marigoldhoist/components/upstreams/const.py
+++ b/marigoldhoist/components/upstreams/const.py
@@ -10,3 +10,5 @@
 
 DONE_EVENT: Final = b'data: [DONE]'
 EVENT_PREFIX: Final = b'data: '
+
+DEFAULT_SLOTS: Final = 8
--- a/marigoldhoist/components/upstreams/service.py
+++ b/marigoldhoist/components/upstreams/service.py
@@ -17,6 +17,7 @@
 )
 from marigoldhoist.components.upstreams.models import Replica, UpstreamCall
 from marigoldhoist.components.upstreams.settings import UpstreamSettings
+from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
 from marigoldhoist.core.kernel import BaseService, Kernel
 from marigoldhoist.core.verdict import Verdict
@@ -87,6 +88,7 @@
                 port=entry.port,
                 failure_domain=entry.failure_domain,
                 serves=entry.serves,
+                first_seen_s=SYSTEM_CLOCK.monotonic_s(),
             )
             self._replica_by_host[entry.host] = replica
         replica.serves = entry.serves
