Move answer relaying out of the dispatch service

Cause: five people are about to change dispatch/service.py at once. Change: metering, billing and settling of an answer live in dispatch/relaying.py; behaviour is the same.

--- a/marigoldhoist/components/dispatch/service.py
+++ b/marigoldhoist/components/dispatch/service.py
@@ -1,20 +1,14 @@
 """The dispatch service."""
 
-import time
-from collections.abc import Iterator
-
-import urllib3
 from result import Err, Ok, Result
 
 from marigoldhoist.components.billing.const import COMPONENT as BILLING
-from marigoldhoist.components.billing.models import Bill
 from marigoldhoist.components.billing.service import BillingService
 from marigoldhoist.components.dispatch.attempts import Attempts
 from marigoldhoist.components.dispatch.calls import serving_name
-from marigoldhoist.components.dispatch.const import JSON_TYPE, TOKENS_PER_COST
-from marigoldhoist.components.dispatch.metering import BodyMeter, StreamMeter
+from marigoldhoist.components.dispatch.const import JSON_TYPE
+from marigoldhoist.components.dispatch.relaying import Relaying
 from marigoldhoist.components.dispatch.stages import (
-    Attempt,
     Outcome,
     Passage,
     Stage,
@@ -24,7 +18,6 @@
 from marigoldhoist.components.routing.service import RoutingService
 from marigoldhoist.components.table.const import COMPONENT as TABLE
 from marigoldhoist.components.table.service import TableService
-from marigoldhoist.components.upstreams.answer import UpstreamAnswer
 from marigoldhoist.components.upstreams.const import COMPONENT as UPSTREAMS
 from marigoldhoist.components.upstreams.service import UpstreamService
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
@@ -40,15 +33,18 @@
     """Runs each request on an allowed version and bills it."""
 
     def __init__(self, kernel: Kernel) -> None:
-        self._host = kernel.settings.section(DaemonSettings).host
         self._table = kernel.find(TABLE, TableService)
         self._routing = kernel.find(ROUTING, RoutingService)
-        self._billing = kernel.find(BILLING, BillingService)
         self._attempts = Attempts(
             self._table,
             self._routing,
             kernel.find(UPSTREAMS, UpstreamService),
         )
+        self._relaying = Relaying(
+            kernel.settings.section(DaemonSettings).host,
+            self._table,
+            kernel.find(BILLING, BillingService),
+        )
         self._stages = Stages()
 
     def add_stage(self, order: int, stage: Stage) -> None:
@@ -109,62 +105,6 @@
                 status=answer.status,
                 content_type=answer.content_type or JSON_TYPE,
                 serving=serving_name(passage.request, version),
-                body=self._metered(passage, version, answer),
-            )
-        )
-
-    def _metered(
-        self, passage: Passage, version: str, answer: UpstreamAnswer
-    ) -> Iterator[bytes]:
-        started_s = time.monotonic()
-        meter = StreamMeter() if passage.request.is_streamed else BodyMeter()
-        first_token_s: float = 0
-        try:
-            for chunk in answer.chunks():
-                first_token_s = first_token_s or time.monotonic() - started_s
-                meter.feed(chunk)
-                yield chunk
-            meter.end()
-        except urllib3.exceptions.HTTPError:
-            meter.is_whole = False
-        finally:
-            answer.close()
-            attempt = Attempt(
-                serving=serving_name(passage.request, version),
-                replica=answer.replica.host,
-                verdict=Verdict.RAN,
-                status=answer.status,
-                tokens=meter.tokens,
-                is_whole=meter.is_whole,
-                first_token_s=first_token_s,
-                duration_s=time.monotonic() - started_s,
-            )
-            self._finish(passage, version, attempt)
-
-    def _finish(self, passage: Passage, version: str, attempt: Attempt) -> None:
-        request = passage.request
-        row = self._table.state.version(request.target, version)
-        price = row.cost_per_1k_tokens if row else 0
-        cost = price * attempt.tokens / TOKENS_PER_COST
-        passage.report(attempt)
-        self._billing.charge(
-            Bill(
-                workspace=request.workspace,
-                request_id=request.request_id,
-                serving=attempt.serving,
-                tokens=attempt.tokens,
-                cost=cost,
-                is_whole=attempt.is_whole,
-                host=self._host,
-            )
-        )
-        passage.settle(
-            Outcome(
-                verdict=attempt.verdict,
-                serving=attempt.serving,
-                status=attempt.status,
-                tokens=attempt.tokens,
-                cost=cost,
-                is_whole=attempt.is_whole,
+                body=self._relaying.body(passage, version, answer),
             )
         )
