Copy streams on one thread and refuse malformed requests as JSON

Change: a streams component runs one task for each stream on epoll; whole events go on, the end mark waits for the bill; cut streams get an error event and no last chunk; unstreamed answers carry Content-Length.

--- /dev/null
+++ b/marigoldhoist/components/dispatch/bodies.py
@@ -0,0 +1,166 @@
+"""The body of a streamed answer, which is either iterated or relayed."""
+
+import contextlib
+import socket
+import time
+from collections.abc import Callable, Generator, Iterator
+
+import msgspec
+import urllib3
+
+from marigoldhoist.components.dispatch.const import (
+    END_MARK,
+    LAST_CHUNK_TIMEOUT_S,
+)
+from marigoldhoist.components.dispatch.errors import AnswerCutError
+from marigoldhoist.components.streams.chunks import chunk_of
+from marigoldhoist.components.streams.const import LAST_CHUNK, RECEIVE_BYTES
+from marigoldhoist.components.streams.errors import (
+    CallerGoneError,
+    StreamError,
+)
+from marigoldhoist.components.streams.meter import EventMeter
+from marigoldhoist.components.streams.service import StreamService
+from marigoldhoist.components.streams.stream import RelayedStream
+from marigoldhoist.components.upstreams.answer import UpstreamAnswer
+from marigoldhoist.core.errors import ErrorCode
+from marigoldhoist.core.verdict import Verdict
+
+
+class StreamEnd(msgspec.Struct, frozen=True):
+    """How a stream ended; the first token's time counts from its head."""
+
+    tokens: int
+    is_whole: bool
+    first_token_s: float
+
+
+OnEnd = Callable[[StreamEnd], None]
+
+
+class StreamBody(Iterator[bytes]):
+    """Iterate it, or relay it to a caller's socket; never both.
+
+    The end is reported before the caller gets the end mark, so that the
+    bill is taken by then.
+    """
+
+    def __init__(
+        self,
+        answer: UpstreamAnswer,
+        streams: StreamService,
+        no_progress_s: float,
+        on_end: OnEnd,
+    ) -> None:
+        self._answer = answer
+        self._streams = streams
+        self._no_progress_s = no_progress_s
+        self._on_end = on_end
+        self._events = self._iterate()
+        self._is_begun = False
+
+    def __next__(self) -> bytes:
+        """Return the next whole events; AnswerCutError after an early end."""
+        self._is_begun = True
+        return next(self._events)
+
+    def close(self) -> None:
+        """End the answer; it is billed for what was iterated."""
+        self._events.close()
+        if not self._is_begun:
+            self._is_begun = True
+            self._answer.close()
+            self._on_end(StreamEnd(0, is_whole=False, first_token_s=0))
+
+    def relay(self, caller: socket.socket) -> bool:
+        """Send the body as chunks; False where the caller's is not whole."""
+        source = self._answer.source(self._no_progress_s)
+        if source is None:
+            return self._relay_iterated(caller)
+        self._is_begun = True
+        stream = RelayedStream(source, caller)
+        with contextlib.closing(self._answer):
+            self._copy(stream)
+            is_sent = _send_end(caller, stream.failure)
+            if stream.failure is None:
+                self._read_last_chunk(stream)
+        return is_sent
+
+    def _copy(self, stream: RelayedStream) -> None:
+        try:
+            self._streams.relay(stream)
+        finally:
+            is_whole = stream.ended.is_set() and stream.failure is None
+            self._on_end(
+                StreamEnd(stream.tokens, is_whole, stream.first_token_s)
+            )
+
+    def _relay_iterated(self, caller: socket.socket) -> bool:
+        with contextlib.closing(self):
+            try:
+                for events in self:
+                    caller.sendall(chunk_of(events))
+            except (AnswerCutError, OSError):
+                return False
+        caller.sendall(LAST_CHUNK)
+        return True
+
+    def _read_last_chunk(self, stream: RelayedStream) -> None:
+        upstream = stream.upstream
+        upstream.settimeout(LAST_CHUNK_TIMEOUT_S)
+        with contextlib.suppress(OSError, StreamError):
+            while not stream.reader.is_ended:
+                received = upstream.recv(RECEIVE_BYTES)
+                if not received:
+                    return
+                stream.reader.read(received)
+            self._answer.mark_whole()
+
+    def _iterate(self) -> Generator[bytes, None, None]:
+        meter = EventMeter()
+        tokens = 0
+        started_s = time.monotonic()
+        first_token_s: float = 0
+        try:
+            for chunk in self._answer.chunks():
+                events = meter.take(chunk)
+                if events:
+                    first_token_s = first_token_s or (
+                        time.monotonic() - started_s
+                    )
+                    yield events
+                tokens = meter.tokens
+        except (urllib3.exceptions.HTTPError, StreamError):
+            meter.end_mark = b''
+        finally:
+            self._answer.close()
+            self._on_end(StreamEnd(tokens, meter.is_ended, first_token_s))
+        yield END_MARK if meter.is_ended else error_event()
+        if not meter.is_ended:
+            raise AnswerCutError('stream ended early')
+
+
+def error_event() -> bytes:
+    """Return the event that tells a caller of an early end."""
+    detail = {
+        'code': ErrorCode.UPSTREAM_CUT.value,
+        'message': 'the answer broke off before its end',
+        'verdict': Verdict.RAN.value,
+    }
+    encoded = msgspec.json.encode({'error': detail})
+    return b'event: error\ndata: %b\n\n' % encoded
+
+
+def _send_end(caller: socket.socket, failure: StreamError | None) -> bool:
+    if isinstance(failure, CallerGoneError):
+        return False
+    try:
+        if failure is None:
+            caller.sendall(chunk_of(END_MARK) + LAST_CHUNK)
+            return True
+        # The body stays without its last chunk, so that a caller which
+        # ignores the event still sees that the answer is not whole.
+        caller.sendall(chunk_of(error_event()))
+    except OSError:
+        return False
+    return False
--- a/marigoldhoist/components/dispatch/const.py
+++ b/marigoldhoist/components/dispatch/const.py
@@ -13,3 +13,5 @@
 VERSION_HEADER: Final = 'X-Served-Version'
 VERDICT_HEADER: Final = 'X-Verdict'
 JSON_TYPE: Final = 'application/json'
+LAST_CHUNK_TIMEOUT_S: Final = 0.2
+END_MARK: Final = b'data: [DONE]\n\n'
--- /dev/null
+++ b/marigoldhoist/components/dispatch/errors.py
@@ -0,0 +1,7 @@
+"""Errors of the dispatch component."""
+
+from marigoldhoist.core.errors import MarigoldhoistError
+
+
+class AnswerCutError(MarigoldhoistError):
+    """An upstream's answer broke off before its end."""
--- a/marigoldhoist/components/dispatch/metering.py
+++ b/marigoldhoist/components/dispatch/metering.py
@@ -2,8 +2,6 @@
 
 import msgspec
 
-from marigoldhoist.components.upstreams.const import DONE_EVENT, EVENT_PREFIX
-
 
 class Usage(msgspec.Struct, frozen=True):
     """Token counts as the engine reports them."""
@@ -17,31 +15,6 @@
     usage: Usage = Usage()
 
 
-class StreamMeter:
-    """Counts the events of a stream and notices its end mark."""
-
-    def __init__(self) -> None:
-        self.tokens = 0
-        self.is_whole = False
-        self._tail = b''
-
-    def feed(self, chunk: bytes) -> None:
-        """Take the next bytes; an event may lie across two chunks."""
-        lines = (self._tail + chunk).split(b'\n')
-        self._tail = lines.pop()
-        for line in lines:
-            self._take_line(line)
-
-    def end(self) -> None:
-        """Learn that the body came to its end."""
-
-    def _take_line(self, line: bytes) -> None:
-        if line.startswith(DONE_EVENT):
-            self.is_whole = True
-        elif line.startswith(EVENT_PREFIX):
-            self.tokens += 1
-
-
 class BodyMeter:
     """Reads the usage of an unstreamed answer."""
 
--- a/marigoldhoist/components/dispatch/relaying.py
+++ b/marigoldhoist/components/dispatch/relaying.py
@@ -7,14 +7,21 @@
 
 from marigoldhoist.components.billing.models import Bill
 from marigoldhoist.components.billing.service import BillingService
+from marigoldhoist.components.dispatch.bodies import (
+    OnEnd,
+    StreamBody,
+    StreamEnd,
+)
 from marigoldhoist.components.dispatch.calls import serving_name
 from marigoldhoist.components.dispatch.const import TOKENS_PER_COST
-from marigoldhoist.components.dispatch.metering import BodyMeter, StreamMeter
+from marigoldhoist.components.dispatch.errors import AnswerCutError
+from marigoldhoist.components.dispatch.metering import BodyMeter
 from marigoldhoist.components.dispatch.stages import (
     Attempt,
     Outcome,
     Passage,
 )
+from marigoldhoist.components.streams.service import StreamService
 from marigoldhoist.components.table.service import TableService
 from marigoldhoist.components.upstreams.answer import UpstreamAnswer
 from marigoldhoist.core.verdict import Verdict
@@ -24,41 +31,47 @@
     """Relays answers; each is reported, billed and settled once."""
 
     def __init__(
-        self, host: str, table: TableService, billing: BillingService
+        self,
+        host: str,
+        table: TableService,
+        billing: BillingService,
+        streams: StreamService,
+        no_progress_s: float,
     ) -> None:
         self._host = host
         self._table = table
         self._billing = billing
+        self._streams = streams
+        self._no_progress_s = no_progress_s
 
     def body(
         self, passage: Passage, version: str, answer: UpstreamAnswer
     ) -> Iterator[bytes]:
-        """Yield the answer's body as it comes, then bill it."""
+        """Return the answer's body, which bills the answer at its end.
+
+        Iterating a body that breaks off raises AnswerCutError.
+        """
         started_s = time.monotonic()
-        meter = StreamMeter() if passage.request.is_streamed else BodyMeter()
-        first_token_s: float = 0
-        try:
-            for chunk in answer.chunks():
-                first_token_s = first_token_s or time.monotonic() - started_s
-                meter.feed(chunk)
-                yield chunk
-            meter.end()
-        except urllib3.exceptions.HTTPError:
-            meter.is_whole = False
-        finally:
-            answer.close()
+
+        def finish(end: StreamEnd) -> None:
             attempt = Attempt(
                 serving=serving_name(passage.request, version),
                 replica=answer.replica.host,
                 verdict=Verdict.RAN,
                 status=answer.status,
-                tokens=meter.tokens,
-                is_whole=meter.is_whole,
-                first_token_s=first_token_s,
+                tokens=end.tokens,
+                is_whole=end.is_whole,
+                first_token_s=end.first_token_s,
                 duration_s=time.monotonic() - started_s,
             )
             self._finish(passage, version, attempt)
 
+        if answer.is_event_stream:
+            return StreamBody(
+                answer, self._streams, self._no_progress_s, finish
+            )
+        return _whole_body(answer, finish)
+
     def _finish(self, passage: Passage, version: str, attempt: Attempt) -> None:
         request = passage.request
         row = self._table.state.version(request.target, version)
@@ -86,3 +99,20 @@
                 is_whole=attempt.is_whole,
             )
         )
+
+
+def _whole_body(answer: UpstreamAnswer, on_end: OnEnd) -> Iterator[bytes]:
+    meter = BodyMeter()
+    failure: Exception | None = None
+    try:
+        for chunk in answer.chunks():
+            meter.feed(chunk)
+            yield chunk
+        meter.end()
+    except urllib3.exceptions.HTTPError as error:
+        failure = error
+    finally:
+        answer.close()
+        on_end(StreamEnd(meter.tokens, meter.is_whole, 0))
+    if failure is not None:
+        raise AnswerCutError(str(failure)) from failure
--- a/marigoldhoist/components/dispatch/service.py
+++ b/marigoldhoist/components/dispatch/service.py
@@ -16,10 +16,13 @@
 )
 from marigoldhoist.components.routing.const import COMPONENT as ROUTING
 from marigoldhoist.components.routing.service import RoutingService
+from marigoldhoist.components.streams.const import COMPONENT as STREAMS
+from marigoldhoist.components.streams.service import StreamService
 from marigoldhoist.components.table.const import COMPONENT as TABLE
 from marigoldhoist.components.table.service import TableService
 from marigoldhoist.components.upstreams.const import COMPONENT as UPSTREAMS
 from marigoldhoist.components.upstreams.service import UpstreamService
+from marigoldhoist.components.upstreams.settings import UpstreamSettings
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
 from marigoldhoist.core.exchange import Answer, CallerRequest
 from marigoldhoist.core.identity import DaemonSettings
@@ -44,6 +47,8 @@
             kernel.settings.section(DaemonSettings).host,
             self._table,
             kernel.find(BILLING, BillingService),
+            kernel.find(STREAMS, StreamService),
+            kernel.settings.section(UpstreamSettings).no_progress_s,
         )
         self._stages = Stages()
 
--- a/marigoldhoist/components/entry/app.py
+++ b/marigoldhoist/components/entry/app.py
@@ -1,10 +1,9 @@
-"""The WSGI application that callers talk to."""
+"""What callers are answered; the gateway sends it."""
 
+import contextlib
 import dataclasses
-import http.client
 import threading
-from collections.abc import Callable, Iterable
-from typing import Any
+from collections.abc import Iterable, Iterator
 
 import msgspec
 from result import Err, Ok, Result
@@ -17,7 +16,11 @@
     VERSION_HEADER,
 )
 from marigoldhoist.components.dispatch.service import DispatchService
-from marigoldhoist.components.entry.const import MODELS_PATH, SERVICE_PREFIX
+from marigoldhoist.components.entry.const import (
+    MODELS_PATH,
+    OVERLOAD_RETRY_AFTER_S,
+    SERVICE_PREFIX,
+)
 from marigoldhoist.components.entry.credentials import Credentials
 from marigoldhoist.components.entry.models import (
     FailureBody,
@@ -39,8 +42,6 @@
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
 from marigoldhoist.core.exchange import Answer, CallerRequest
 
-StartResponse = Callable[[str, list[tuple[str, str]]], Any]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
@@ -71,22 +72,22 @@
         self.in_flight = 0
         self._lock = threading.Lock()
 
-    def __call__(
-        self, environ: Environ, start_response: StartResponse
-    ) -> Iterable[bytes]:
-        """Answer one request."""
+    @contextlib.contextmanager
+    def counted(self) -> Iterator[None]:
+        """Count a request as in flight while the block runs."""
         self._count(1)
         try:
-            outcome = self._admit(environ)
-            if isinstance(outcome, Err):
-                reply = failure_reply(outcome.err_value)
-            else:
-                reply = outcome.ok_value
-            start_response(_status_line(reply), list(reply.headers.items()))
-            yield from reply.body
+            yield
         finally:
             self._count(-1)
 
+    def answer(self, environ: Environ) -> Reply:
+        """Answer one request that was counted."""
+        outcome = self._admit(environ)
+        if isinstance(outcome, Err):
+            return failure_reply(outcome.err_value)
+        return outcome.ok_value
+
     def _count(self, change: int) -> None:
         with self._lock:
             self.in_flight += change
@@ -94,6 +95,8 @@
     def _admit(self, environ: Environ) -> Outcome:
         if self.is_draining:
             return _refused(ErrorCode.DRAINING, 'this daemon is stopping')
+        if self.in_flight > self._settings.max_requests:
+            return Err(_overloaded())
         state = self._table.state
         if state.is_empty:
             return _refused(ErrorCode.NO_TABLE, 'no table has been read yet')
@@ -164,8 +167,12 @@
     return Reply(failure.http_status, headers, (body,))
 
 
-def _status_line(reply: Reply) -> str:
-    return f'{reply.status} {http.client.responses.get(reply.status, "")}'
+def _overloaded() -> RequestFailure:
+    return RequestFailure(
+        ErrorCode.OVERLOADED,
+        'this daemon runs as many requests as it may',
+        retry_after_s=OVERLOAD_RETRY_AFTER_S,
+    )
 
 
 def _refused(code: ErrorCode, message: str) -> Err[RequestFailure]:
--- a/marigoldhoist/components/entry/reader.py
+++ b/marigoldhoist/components/entry/reader.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import msgspec
+from cheroot.errors import MaxSizeExceeded
 from result import Err, Ok, Result
 
 from marigoldhoist.components.entry.const import (
@@ -35,17 +36,11 @@
     environ: Environ, settings: EntrySettings
 ) -> Result[bytes, RequestFailure]:
     """Read the whole body; a cut upload and an oversized one are refused."""
-    try:
-        length = int(environ.get('CONTENT_LENGTH') or 0)
-    except ValueError:
-        return _bad('Content-Length is not a number')
+    if environ.get('wsgi.input_terminated'):
+        return _read_chunked(environ, settings)
+    length = int(environ.get('CONTENT_LENGTH') or 0)
     if length > settings.max_body_bytes:
-        return Err(
-            RequestFailure(
-                ErrorCode.BODY_TOO_LARGE,
-                f'body over {settings.max_body_bytes} bytes',
-            )
-        )
+        return _too_large(settings)
     try:
         body: bytes = environ['wsgi.input'].read(length) if length else b''
     except OSError:
@@ -55,6 +50,25 @@
     return Ok(body)
 
 
+def _read_chunked(
+    environ: Environ, settings: EntrySettings
+) -> Result[bytes, RequestFailure]:
+    try:
+        body: bytes = environ['wsgi.input'].read()
+    except TimeoutError:
+        return _bad('body did not arrive in time')
+    except ValueError as error:
+        return _bad(f'body was cut short or malformed: {error}')
+    except (OSError, MaxSizeExceeded):
+        return _too_large(settings)
+    return Ok(body)
+
+
+def _too_large(settings: EntrySettings) -> Err[RequestFailure]:
+    message = f'body over {settings.max_body_bytes} bytes'
+    return Err(RequestFailure(ErrorCode.BODY_TOO_LARGE, message))
+
+
 def read_chat(
     environ: Environ, workspace: str, body: bytes
 ) -> Result[CallerRequest, RequestFailure]:
--- a/marigoldhoist/components/entry/service.py
+++ b/marigoldhoist/components/entry/service.py
@@ -1,13 +1,18 @@
 """Serve callers over HTTP until the daemon stops."""
 
 import time
-
-from cheroot import wsgi
+from functools import partial
 
 from marigoldhoist.components.dispatch.const import COMPONENT as DISPATCH
 from marigoldhoist.components.dispatch.service import DispatchService
 from marigoldhoist.components.entry.app import CallerApp
-from marigoldhoist.components.entry.const import DRAIN_POLL_S, STOP_TIMEOUT_S
+from marigoldhoist.components.entry.const import (
+    DRAIN_POLL_S,
+    SPARE_THREADS,
+    STOP_TIMEOUT_S,
+)
+from marigoldhoist.components.entry.gateway import CallerGateway
+from marigoldhoist.components.entry.server import CallerServer
 from marigoldhoist.components.entry.settings import EntrySettings
 from marigoldhoist.components.table.const import COMPONENT as TABLE
 from marigoldhoist.components.table.service import TableService
@@ -27,13 +32,13 @@
             kernel.find(DISPATCH, DispatchService),
         )
         address = kernel.settings.section(DaemonSettings).address
-        self._server = wsgi.Server(
+        self._server = CallerServer(
             (address, self._settings.port),
-            self._app,
-            numthreads=self._settings.threads,
-            timeout=self._settings.socket_timeout_s,
-            request_queue_size=self._settings.threads,
+            partial(CallerGateway, self._app),
+            minthreads=self._settings.max_requests + SPARE_THREADS,
         )
+        self._server.timeout = self._settings.socket_timeout_s
+        self._server.request_queue_size = self._settings.max_requests
         self._server.shutdown_timeout = STOP_TIMEOUT_S
         self._server.max_request_header_size = self._settings.max_header_bytes
         self._server.max_request_body_size = self._settings.max_body_bytes
--- a/marigoldhoist/components/entry/settings.py
+++ b/marigoldhoist/components/entry/settings.py
@@ -13,10 +13,13 @@
 
 @settings_section('entry')
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The callers' port and the bounds on what they may send."""
+    """The callers' port and the bounds on what they may send.
+
+    Each request in flight holds a thread, so `max_requests` bounds both.
+    """
 
     port: Port = 7100
-    threads: Count = 64
+    max_requests: Count = 64
     max_header_bytes: Bytes = 32_768
     max_body_bytes: Bytes = 4_194_304
     socket_timeout_s: Annotated[int, msgspec.Meta(ge=1, le=600)] = 10
--- /dev/null
+++ b/marigoldhoist/components/streams/stream.py
@@ -0,0 +1,106 @@
+"""One streamed answer on its way from an upstream to a caller."""
+
+import dataclasses
+import enum
+import socket
+import threading
+import time
+from collections.abc import Generator
+
+from marigoldhoist.components.streams.chunks import ChunkReader, chunk_of
+from marigoldhoist.components.streams.const import RECEIVE_BYTES
+from marigoldhoist.components.streams.errors import (
+    CallerGoneError,
+    StreamError,
+    UpstreamCutError,
+)
+from marigoldhoist.components.streams.meter import EventMeter
+
+
+class WaitFor(enum.Enum):
+    """What a stream waits for before it can go on."""
+
+    UPSTREAM = 1
+    CALLER = 2
+
+
+StreamTask = Generator[WaitFor, None, None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamSource:
+    """An upstream's socket, and body bytes that were read with its head."""
+
+    upstream: socket.socket
+    received: bytes
+    no_progress_s: float
+
+
+class RelayedStream:
+    """Copies whole events and holds back the end mark.
+
+    Tokens are those whose events were handed to the caller's connection.
+    """
+
+    def __init__(self, source: StreamSource, caller: socket.socket) -> None:
+        self.upstream = source.upstream
+        self.caller = caller
+        self.no_progress_s = source.no_progress_s
+        self.reader = ChunkReader()
+        self.meter = EventMeter()
+        self.tokens = 0
+        self.started_s = time.monotonic()
+        self.first_token_s: float = 0
+        self.progress_s = self.started_s
+        self.waits_for = WaitFor.UPSTREAM
+        self.ended = threading.Event()
+        self.failure: StreamError | None = None
+        self._received = source.received
+
+    def task(self) -> StreamTask:
+        """Run until the end mark came; raises StreamError where it can't."""
+        received = self._received
+        while True:
+            if received:
+                yield from self._pass_on(self.reader.read(received))
+            if self.meter.is_ended:
+                return
+            if self.reader.is_ended:
+                raise UpstreamCutError('answer ended without its end mark')
+            yield WaitFor.UPSTREAM
+            received = self._receive()
+
+    def _receive(self) -> bytes:
+        try:
+            received = self.upstream.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return b''
+        except OSError as error:
+            raise UpstreamCutError(str(error)) from error
+        if not received:
+            raise UpstreamCutError('upstream closed the connection')
+        self.progress_s = time.monotonic()
+        return received
+
+    def _pass_on(self, content: bytes) -> StreamTask:
+        events = self.meter.take(content)
+        if not events:
+            return
+        unsent = self._send(chunk_of(events))
+        while unsent:
+            yield WaitFor.CALLER
+            unsent = self._send(unsent)
+        self.tokens = self.meter.tokens
+        self.first_token_s = self.first_token_s or (
+            time.monotonic() - self.started_s
+        )
+
+    def _send(self, unsent: bytes) -> bytes:
+        try:
+            sent = self.caller.send(unsent)
+        except BlockingIOError:
+            return unsent
+        except OSError as error:
+            raise CallerGoneError(str(error)) from error
+        self.progress_s = time.monotonic()
+        return unsent[sent:]
--- a/marigoldhoist/components/upstreams/answer.py
+++ b/marigoldhoist/components/upstreams/answer.py
@@ -1,11 +1,17 @@
 """An upstream's answer while it is read."""
 
 import contextlib
+import socket
 from collections.abc import Iterator
+from typing import Any
 
 import urllib3
 
-from marigoldhoist.components.upstreams.const import READ_CHUNK_BYTES
+from marigoldhoist.components.streams.stream import StreamSource
+from marigoldhoist.components.upstreams.const import (
+    EVENT_STREAM_TYPE,
+    READ_CHUNK_BYTES,
+)
 from marigoldhoist.components.upstreams.models import Replica
 
 
@@ -25,6 +31,27 @@
         self._is_whole = False
         self._is_closed = False
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Tell whether the body is a stream of server-sent events."""
+        return self.content_type.startswith(EVENT_STREAM_TYPE)
+
+    def source(self, no_progress_s: float) -> StreamSource | None:
+        """Return the socket that a chunked stream is read from.
+
+        None where the body is not chunked; the caller then reads chunks().
+        """
+        connection = getattr(self._reply, 'connection', None)
+        if not self._reply.chunked or connection is None:
+            return None
+        upstream: socket.socket = connection.sock
+        received = self._read_ahead(upstream)
+        return StreamSource(upstream, received, no_progress_s)
+
+    def mark_whole(self) -> None:
+        """Learn that the body was read to its end from the source."""
+        self._is_whole = True
+
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it comes; urllib3 errors where it is cut."""
         if self._reply.chunked:
@@ -41,6 +68,26 @@
         self.replica.end()
         with contextlib.suppress(urllib3.exceptions.HTTPError, OSError):
             if self._is_whole:
+                self._finish_reply()
                 self._reply.release_conn()
             else:
                 self._reply.close()
+
+    def _read_ahead(self, upstream: socket.socket) -> bytes:
+        # http.client buffers what came with the head; nothing else may read
+        # the socket until that buffer is empty.
+        buffered = self._http_reply().fp
+        timeout_s = upstream.gettimeout()
+        upstream.setblocking(False)
+        received = bytes(buffered.peek())
+        buffered.read(len(received))
+        upstream.settimeout(timeout_s)
+        return received
+
+    def _finish_reply(self) -> None:
+        # A body that was read from the socket is unknown to http.client,
+        # which would refuse the connection's next request.
+        self._http_reply().close()
+
+    def _http_reply(self) -> Any:
+        return self._reply._fp  # type: ignore[attr-defined]
--- a/marigoldhoist/components/upstreams/const.py
+++ b/marigoldhoist/components/upstreams/const.py
@@ -8,5 +8,4 @@
 MAX_POOLS: Final = 512
 CONNECTIONS_PER_REPLICA: Final = 64
 
-DONE_EVENT: Final = b'data: [DONE]'
-EVENT_PREFIX: Final = b'data: '
+EVENT_STREAM_TYPE: Final = 'text/event-stream'
--- a/marigoldhoist/core/errors.py
+++ b/marigoldhoist/core/errors.py
@@ -39,6 +39,7 @@
     ORDER_TOO_OLD = 'order_too_old'
     UPSTREAM_FAILED = 'upstream_failed'
     UPSTREAM_CUT = 'upstream_cut'
+    INTERNAL = 'internal'
 
 
 HTTP_STATUS_BY_CODE = {
@@ -54,6 +55,7 @@
     ErrorCode.UPSTREAM_FAILED: 502,
     ErrorCode.UPSTREAM_CUT: 502,
     ErrorCode.DEADLINE_EXCEEDED: 504,
+    ErrorCode.INTERNAL: 500,
 }
 
 DEFAULT_HTTP_STATUS = 503
