Judge late work by the log's own time in the demo

Cause: the demo took the time after the append's answer, which hid work given between the append and the answer; and a daemon that failed to start was not explained. Change: the withdrawal's log time counts; a failed start prints the daemon's output; the demo follows the entry setting's new name.

--- a/tools/demo/plan.py
+++ b/tools/demo/plan.py
@@ -11,9 +11,9 @@
     DAEMONS_PER_DOMAIN,
     DOMAINS,
     ENGINES_PER_DOMAIN,
-    ENTRY_THREADS,
     HOSTS_PORT,
     LOG_PORT,
+    MAX_REQUESTS,
     MODEL,
     PEER_PORT,
     SERVICE,
@@ -115,7 +115,10 @@
             },
             'platform_log': {'url': plan.log_url},
             'hosts': {'url': plan.hosts_url, 'poll_interval_s': 0.5},
-            'entry': {'threads': ENTRY_THREADS, 'balancer_grace_s': 1.0},
+            'entry': {
+                'max_requests': MAX_REQUESTS,
+                'balancer_grace_s': 1.0,
+            },
             'operator': {'key_digests': [digest_of(OPERATOR_KEY)]},
         }
         path = folder / f'{daemon.host}.json'
--- a/tools/demo/run.py
+++ b/tools/demo/run.py
@@ -7,8 +7,11 @@
 import time
 
 from marigoldhoist.components.hosts.models import HostEntry, HostRole
+from marigoldhoist.components.platform_log.const import TABLE_STREAM
 from marigoldhoist.components.platform_log.models import new_record
 from marigoldhoist.components.table.const import CHANGE_KIND
+from marigoldhoist.components.table.models import TableChange
+from marigoldhoist.core.const import MS_PER_S
 from tools.demo.balancer import Balancer
 from tools.demo.const import (
     CALLERS,
@@ -98,7 +101,14 @@
         for host, path in files_by_host.items():
             self._processes.start(host, *self._daemon, 'serve', str(path))
         for daemon in self._daemons:
+            self._wait_for_daemon(daemon)
+
+    def _wait_for_daemon(self, daemon: HostEntry) -> None:
+        try:
             self._platform.wait_for(f'http://{daemon.address}:{ENTRY_PORT}/')
+        except TimeoutError:
+            self._tell(self._processes.output_of(daemon.host))
+            raise
 
     def _start_upstream(self, host: HostEntry, kind: str) -> None:
         self._processes.start_standin(host.host, kind, host.address, host.port)
@@ -108,18 +118,9 @@
         self._tell(f'{CALLERS} callers begin')
         _sleep_until(started_s + WITHDRAW_AT_S)
         self._tell(f'withdrawing {MODEL}/{WITHDRAWN}')
-        self._append(
-            change_of(
-                {
-                    f'version/{MODEL}/{WITHDRAWN}': {
-                        'state': 'withdrawn',
-                        'cost_per_1k_tokens': 4,
-                    }
-                },
-                base_revision=0,
-            )
-        )
-        withdrawn_s = time.time()
+        offset = self._append(_withdrawal())
+        withdrawn = self._platform.entries(TABLE_STREAM)[offset]
+        withdrawn_s = withdrawn.time_ms / MS_PER_S
         _sleep_until(started_s + KILL_AT_S)
         killed, stopped = self._daemons[0].host, self._daemons[-1].host
         self._tell(f'killing {killed}')
@@ -146,7 +147,7 @@
             )
         )
 
-    def _append(self, change: object) -> int:
+    def _append(self, change: TableChange) -> int:
         return self._platform.append_table(new_record(CHANGE_KIND, change))
 
     def _count(
@@ -168,5 +169,10 @@
         sys.stdout.flush()
 
 
+def _withdrawal() -> TableChange:
+    row = {'state': 'withdrawn', 'cost_per_1k_tokens': 4}
+    return change_of({f'version/{MODEL}/{WITHDRAWN}': row}, base_revision=0)
+
+
 def _sleep_until(moment_s: float) -> None:
     time.sleep(max(0, moment_s - time.monotonic()))
