Give orders to engines under a lease's fencing number

Cause: a paused holder's order can arrive after its successor's, and not every engine checks who gives it an order. Change: OrderSender sends orders with the fence of a held lease and learns from the engine's reply whether it checks. An engine that does not gets only what is safe to repeat until the lease has been held for its TTL and the largest pause assumed. The stand-in engine takes orders, with fencing obeyed or ignored. Leases move to the table stream, which every daemon reads whole.

--- a/marigoldhoist/components/leases/keeper.py
+++ b/marigoldhoist/components/leases/keeper.py
@@ -18,7 +18,7 @@
     LeaseAction,
     LeaseRecord,
 )
-from marigoldhoist.components.platform_log.const import WORK_STREAM
+from marigoldhoist.components.platform_log.const import TABLE_STREAM
 from marigoldhoist.components.platform_log.models import new_record
 from marigoldhoist.components.platform_log.service import LogAccess
 from marigoldhoist.core.clock import SYSTEM_CLOCK, Clock
@@ -49,6 +49,8 @@
         self._clock = clock
         self._safe_until_s: float = 0
         self._was_held = False
+        self._won_fence = NO_FENCE
+        self._won_s: float = 0
         self._seen: Lease | None = None
         self._seen_s = clock.monotonic_s()
         self._patience = random.random()
@@ -66,6 +68,13 @@
             return None
         return lease.fence
 
+    @property
+    def held_s(self) -> float:
+        """Return the seconds since the lease was won, zero if not held."""
+        if self.fence is None:
+            return 0
+        return self._clock.monotonic_s() - self._won_s
+
     def step(self) -> None:
         """Renew the lease if it is held, claim it if it looks lapsed."""
         lease = self._fold.lease(self.name)
@@ -105,7 +114,11 @@
         fence = lease.fence if lease else NO_FENCE
         if not self._append(action, fence, APPEND_TIMEOUT_S):
             return
-        if self._own_lease() is not None and not self.given_up.is_set():
+        own = self._own_lease()
+        if own is not None and not self.given_up.is_set():
+            if own.fence != self._won_fence:
+                self._won_fence = own.fence
+                self._won_s = self._clock.monotonic_s()
             # The log's expiry counts from the append, which came later.
             self._safe_until_s = sent_s + self.ttl_s * (1 - MARGIN_FRACTION)
 
@@ -120,10 +133,10 @@
             fence,
         )
         record = new_record(LEASE_KIND, asked)
-        appended = self._log.append(WORK_STREAM, (record,), timeout_s)
+        appended = self._log.append(TABLE_STREAM, (record,), timeout_s)
         if isinstance(appended, Err):
             return False
-        feed = self._log.feeds_by_stream[WORK_STREAM]
+        feed = self._log.feeds_by_stream[TABLE_STREAM]
         return feed.wait_past(appended.ok_value[0], timeout_s)
 
     def _note_change(self) -> None:
--- a/marigoldhoist/components/leases/service.py
+++ b/marigoldhoist/components/leases/service.py
@@ -16,10 +16,11 @@
     LeaseRecord,
     LeaseStatus,
 )
+from marigoldhoist.components.leases.orders import OrderSender
 from marigoldhoist.components.platform_log.const import (
     COMPONENT as LOG,
 )
-from marigoldhoist.components.platform_log.const import WORK_STREAM
+from marigoldhoist.components.platform_log.const import TABLE_STREAM
 from marigoldhoist.components.platform_log.service import LogService
 from marigoldhoist.core.const import MS_PER_S
 from marigoldhoist.core.identity import DaemonSettings
@@ -33,12 +34,13 @@
         self.fold = LeaseFold()
         self._kernel = kernel
         self._log = kernel.find(LOG, LogService)
-        self._log.feeds_by_stream[WORK_STREAM].add_fold(self.fold.apply)
-        self._log.feeds_by_stream[WORK_STREAM].add_part(
+        self._log.feeds_by_stream[TABLE_STREAM].add_fold(self.fold.apply)
+        self._log.feeds_by_stream[TABLE_STREAM].add_part(
             COMPONENT, self.fold.dump, self.fold.restore
         )
         host = kernel.settings.section(DaemonSettings).host
         self._holder = f'{host}/{uuid.uuid4().hex}'
+        self.orders = OrderSender()
         self._handle_by_name: dict[str, LeaseHandle] = {}
 
     def drain(self) -> None:
--- a/tests/components/leases/test_keeper.py
+++ b/tests/components/leases/test_keeper.py
@@ -5,7 +5,7 @@
 from marigoldhoist.components.leases.fold import LeaseFold
 from marigoldhoist.components.leases.keeper import LeaseHandle
 from marigoldhoist.components.leases.models import LeaseAction, LeaseRecord
-from marigoldhoist.components.platform_log.const import WORK_STREAM
+from marigoldhoist.components.platform_log.const import TABLE_STREAM
 from tests.fakes import FakeClock, FakeLog, Fault
 from tools.standins.log import LogStore
 
@@ -21,13 +21,13 @@
         self.clock = clock
         self.log = FakeLog(store)
         self.fold = LeaseFold()
-        self.log.feeds_by_stream[WORK_STREAM].add_fold(self.fold.apply)
+        self.log.feeds_by_stream[TABLE_STREAM].add_fold(self.fold.apply)
         wanted = LeaseRecord(NAME, holder, LeaseAction.ACQUIRE, TTL_S * 1000)
         self.handle = LeaseHandle(self.log, self.fold, wanted, clock)
 
     def step(self) -> None:
         """Read the log to its end and act."""
-        self.log.follow(WORK_STREAM)
+        self.log.follow(TABLE_STREAM)
         self.handle.step()
 
 
@@ -131,9 +131,9 @@
     def test_second_copy_of_a_claim_takes_nothing(self) -> None:
         contest = Contest()
         contest.first.step()
-        claim = contest.store.entries(WORK_STREAM)[0].record
+        claim = contest.store.entries(TABLE_STREAM)[0].record
         contest.first.handle.release()
-        contest.store.append(WORK_STREAM, (claim,))
+        contest.store.append(TABLE_STREAM, (claim,))
         contest.second.step()
         assert contest.holders == (False, True)
 
@@ -144,7 +144,7 @@
         contest.first.step()
         contest.pass_time(500 + TTL_S / 2)
         late = Contender(contest.store, 'late', contest.clock)
-        late.log.follow(WORK_STREAM)
+        late.log.follow(TABLE_STREAM)
         lease = late.fold.lease(NAME)
         assert lease is not None
         assert lease.holder == 'first'
--- a/tools/standins/engine.py
+++ b/tools/standins/engine.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from tools.standins.orders import OrderDesk
 from tools.standins.web import WebReply, WebRequest, WebServer, json_reply
 
 EVENT_STREAM = 'text/event-stream'
@@ -51,6 +52,7 @@
         first_token_s: float = 0.01,
     ) -> None:
         self.faults = EngineFaults()
+        self.orders = OrderDesk()
         self.served: list[ServedRequest] = []
         self._token_time_s = token_time_s
         self._first_token_s = first_token_s
@@ -67,6 +69,9 @@
                 return json_reply(self.served)
             case '/load':
                 return json_reply({'running': self._running})
+            case '/orders':
+                ignored = self.faults.is_fencing_ignored
+                return self.orders.handle(request, ignored)
             case '/v1/chat/completions':
                 return self._chat(request)
         return json_reply({'error': 'no such path'}, 404)
