--- /dev/null
+++ b/tools/model_check/__init__.py
@@ -0,0 +1,1 @@
+"""A small specification of the core protocol, and its checker."""
--- /dev/null
+++ b/tools/model_check/table.py
@@ -0,0 +1,313 @@
+"""The table's fold with snapshots and relay, for one version's row.
+
+The log is unbounded. Two daemons stand for any two: nothing that is said of
+one daemon depends on how many there are.
+"""
+
+import dataclasses
+from functools import partial
+from typing import Any
+
+import z3
+
+from tools.model_check.properties import Property
+from tools.model_check.system import (
+    Action,
+    Effect,
+    State,
+    System,
+    all_of,
+    per_process,
+    sorts_of,
+    specification,
+)
+
+RELAY_IGNORES_OFFSETS = 'relay_ignores_offsets'
+SNAPSHOT_FORGETS = 'snapshot_forgets_tombstones'
+RESTORE_STEPS_BACK = 'restore_steps_back'
+WITHDRAWAL_NOT_FINAL = 'withdrawal_not_final'
+
+DAEMONS = 2
+DEPTH = 6
+NEVER = -1
+
+# A row's states; a change is the state that it asks for.
+NO_ROW, LIVE, HELD, WITHDRAWN = range(4)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Folded:
+    """A row and whether it has a tombstone."""
+
+    row: Any
+    is_dead: Any
+
+
+class Table:
+    """The actions and properties, whole or broken in one way."""
+
+    def __init__(self, mutant: str) -> None:
+        self.mutant = mutant
+
+    def fold(self, before: Folded, change: Any) -> Folded:
+        """Return the row after a change, which may be rejected."""
+        takes_work = z3.Or(change == LIVE, change == HELD)
+        is_reused = z3.And(before.row == NO_ROW, change == WITHDRAWN)
+        is_rejected = z3.And(before.is_dead, z3.Or(takes_work, is_reused))
+        if self.mutant == WITHDRAWAL_NOT_FINAL:
+            is_rejected = z3.BoolVal(False)
+        is_deleted = z3.And(change == NO_ROW, before.row != NO_ROW)
+        is_buried = z3.Or(change == WITHDRAWN, is_deleted)
+        return Folded(
+            z3.If(is_rejected, before.row, change),
+            z3.Or(before.is_dead, is_buried),
+        )
+
+    def append(self, state: State) -> Effect:
+        """Append a change that somebody asks for."""
+        length = state['length']
+        after = self.fold(_truth(state, length), state['change'])
+        is_first = z3.And(after.is_dead, state['withdrawn_at'] == NEVER)
+        return Effect(
+            z3.And(state['change'] >= NO_ROW, state['change'] <= WITHDRAWN),
+            {
+                'log': z3.Store(state['log'], length, state['change']),
+                'row_at': z3.Store(state['row_at'], length + 1, after.row),
+                'dead_at': z3.Store(
+                    state['dead_at'], length + 1, after.is_dead
+                ),
+                'length': length + 1,
+                'withdrawn_at': z3.If(is_first, length, state['withdrawn_at']),
+            },
+        )
+
+    def read(self, daemon: int, state: State) -> Effect:
+        """Fold the next entry of the log."""
+        position = state[f'position{daemon}']
+        return Effect(
+            position < state['length'],
+            self._folded(daemon, state, position),
+        )
+
+    def relay(self, daemon: int, state: State) -> Effect:
+        """Fold an entry that the other daemon has folded."""
+        offset = state['offset']
+        other = 1 - daemon
+        is_next = offset == state[f'position{daemon}']
+        if self.mutant == RELAY_IGNORES_OFFSETS:
+            is_next = z3.BoolVal(True)
+        return Effect(
+            z3.And(offset >= 0, offset < state[f'position{other}'], is_next),
+            self._folded(daemon, state, offset),
+        )
+
+    def snapshot(self, daemon: int, state: State) -> Effect:
+        """Put the daemon's state on the log, where all find it."""
+        is_dead = state[f'dead{daemon}']
+        if self.mutant == SNAPSHOT_FORGETS:
+            is_dead = z3.BoolVal(False)
+        return Effect(
+            z3.BoolVal(True),
+            {
+                'position_kept': state[f'position{daemon}'],
+                'row_kept': state[f'row{daemon}'],
+                'dead_kept': is_dead,
+            },
+        )
+
+    def restore(self, daemon: int, state: State) -> Effect:
+        """Step ahead to the snapshot."""
+        is_ahead = state['position_kept'] > state[f'position{daemon}']
+        if self.mutant == RESTORE_STEPS_BACK:
+            is_ahead = z3.BoolVal(True)
+        return Effect(
+            is_ahead,
+            {
+                f'position{daemon}': state['position_kept'],
+                f'row{daemon}': state['row_kept'],
+                f'dead{daemon}': state['dead_kept'],
+                f'furthest{daemon}': _greater(
+                    state['position_kept'], state[f'furthest{daemon}']
+                ),
+            },
+        )
+
+    def replace(self, daemon: int, state: State) -> Effect:
+        """Put a new daemon, which knows nothing, in the place of one."""
+        return Effect(
+            z3.BoolVal(True),
+            {
+                f'position{daemon}': z3.IntVal(0),
+                f'row{daemon}': z3.IntVal(NO_ROW),
+                f'dead{daemon}': z3.BoolVal(False),
+                f'furthest{daemon}': z3.IntVal(0),
+            },
+        )
+
+    def start(self, state: State) -> z3.BoolRef:
+        """Say where every run begins."""
+        return all_of(
+            state['length'] == 0,
+            state['withdrawn_at'] == NEVER,
+            state['row_at'][0] == NO_ROW,
+            z3.Not(state['dead_at'][0]),
+            state['position_kept'] == 0,
+            state['row_kept'] == NO_ROW,
+            z3.Not(state['dead_kept']),
+            *(
+                z3.And(
+                    state[f'position{daemon}'] == 0,
+                    state[f'row{daemon}'] == NO_ROW,
+                    z3.Not(state[f'dead{daemon}']),
+                    state[f'furthest{daemon}'] == 0,
+                )
+                for daemon in range(DAEMONS)
+            ),
+        )
+
+    def stays_withdrawn(self, state: State) -> z3.BoolRef:
+        """Say that no daemon past a withdrawal gives the version work."""
+        withdrawn_at = state['withdrawn_at']
+        return all_of(
+            *(
+                z3.Implies(
+                    z3.And(
+                        withdrawn_at != NEVER,
+                        state[f'position{daemon}'] > withdrawn_at,
+                    ),
+                    _takes_no_work(state[f'row{daemon}']),
+                )
+                for daemon in range(DAEMONS)
+            )
+        )
+
+    def same_position_same_state(self, state: State) -> z3.BoolRef:
+        """Say that daemons at one position are alike."""
+        return z3.Implies(
+            state['position0'] == state['position1'],
+            z3.And(
+                state['row0'] == state['row1'],
+                state['dead0'] == state['dead1'],
+            ),
+        )
+
+    def never_steps_back(self, state: State) -> z3.BoolRef:
+        """Say that each daemon is as far as it has ever been."""
+        return all_of(
+            *(
+                state[f'position{daemon}'] >= state[f'furthest{daemon}']
+                for daemon in range(DAEMONS)
+            )
+        )
+
+    def invariant(self, state: State) -> z3.BoolRef:
+        """Say that every copy is the fold of the log up to its position."""
+        index = z3.Int('index')
+        at_index = _truth(state, index)
+        is_past = state['withdrawn_at'] != NEVER
+        in_log = z3.And(index >= 0, index <= state['length'])
+        folded = self.fold(at_index, state['log'][index])
+        follows = z3.And(
+            state['row_at'][index + 1] == folded.row,
+            state['dead_at'][index + 1] == folded.is_dead,
+        )
+        sound = z3.And(
+            z3.Implies(at_index.is_dead, _takes_no_work(at_index.row)),
+            z3.Implies(
+                z3.And(is_past, index > state['withdrawn_at']),
+                at_index.is_dead,
+            ),
+            z3.Implies(index < state['length'], follows),
+        )
+        copies = [f'{daemon}' for daemon in range(DAEMONS)]
+        return all_of(
+            state['row_at'][0] == NO_ROW,
+            z3.Not(state['dead_at'][0]),
+            state['withdrawn_at'] >= NEVER,
+            state['withdrawn_at'] < state['length'],
+            z3.ForAll([index], z3.Implies(in_log, sound)),
+            *(_is_copy(state, suffix) for suffix in (*copies, '_kept')),
+            *(
+                state[f'furthest{copy}'] == state[f'position{copy}']
+                for copy in copies
+            ),
+        )
+
+    def _folded(self, daemon: int, state: State, offset: Any) -> dict[str, Any]:
+        own = Folded(state[f'row{daemon}'], state[f'dead{daemon}'])
+        after = self.fold(own, state['log'][offset])
+        return {
+            f'position{daemon}': offset + 1,
+            f'row{daemon}': after.row,
+            f'dead{daemon}': after.is_dead,
+            f'furthest{daemon}': _greater(
+                offset + 1, state[f'furthest{daemon}']
+            ),
+        }
+
+
+def _truth(state: State, offset: Any) -> Folded:
+    return Folded(state['row_at'][offset], state['dead_at'][offset])
+
+
+def _takes_no_work(row: Any) -> Any:
+    return z3.Or(row == NO_ROW, row == WITHDRAWN)
+
+
+def _greater(one: Any, other: Any) -> Any:
+    return z3.If(one > other, one, other)
+
+
+def _is_copy(state: State, suffix: str) -> Any:
+    position = state[f'position{suffix}']
+    truth = _truth(state, position)
+    return z3.And(
+        position >= 0,
+        position <= state['length'],
+        state[f'row{suffix}'] == truth.row,
+        state[f'dead{suffix}'] == truth.is_dead,
+    )
+
+
+@specification(
+    'table',
+    (
+        RELAY_IGNORES_OFFSETS,
+        SNAPSHOT_FORGETS,
+        RESTORE_STEPS_BACK,
+        WITHDRAWAL_NOT_FINAL,
+    ),
+)
+def build(mutant: str) -> System:
+    """Return the system."""
+    table = Table(mutant)
+    actions: dict[str, Action] = {'append': table.append}
+    for daemon in range(DAEMONS):
+        for step in (
+            table.read,
+            table.relay,
+            table.snapshot,
+            table.restore,
+            table.replace,
+        ):
+            actions[f'{step.__name__} by {daemon}'] = partial(step, daemon)
+    numbers = ('length', 'withdrawn_at', 'position_kept', 'row_kept')
+    changes = z3.ArraySort(z3.IntSort(), z3.IntSort())
+    return System(
+        'table',
+        sorts_of((*numbers, 'change', 'offset'), z3.IntSort())
+        | {'log': changes, 'row_at': changes, 'dead_kept': z3.BoolSort()}
+        | {'dead_at': z3.ArraySort(z3.IntSort(), z3.BoolSort())}
+        | per_process(('position', 'row', 'furthest'), DAEMONS, z3.IntSort())
+        | per_process(('dead',), DAEMONS, z3.BoolSort()),
+        frozenset(('change', 'offset')),
+        table.start,
+        actions,
+        {
+            Property.WITHDRAWN_STAYS_WITHDRAWN: table.stays_withdrawn,
+            Property.SAME_POSITION_SAME_STATE: table.same_position_same_state,
+            Property.NEVER_STEPS_BACK: table.never_steps_back,
+        },
+        table.invariant,
+        DEPTH,
+    )
