--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -49,6 +49,7 @@
         self.fault = Fault.NONE
         self.is_read_back = True
         self.is_down = False
+        self.batch = BATCH
 
     def append(
         self, stream: str, records: tuple[Record, ...], timeout_s: float
@@ -83,7 +84,7 @@
         """Read without waiting; fails while the log is down."""
         if self.is_down:
             raise LogUnavailableError('down')
-        return self.store.read(stream, offset, limit, 0)
+        return self.store.read(stream, offset, min(limit, self.batch), 0)
 
     def follow(self, stream: str) -> None:
         """Read up to the end of a stream."""
--- a/tools/standins/log.py
+++ b/tools/standins/log.py
@@ -84,6 +84,16 @@
         with self._changed:
             return list(self._content(stream).entries)
 
+    def expire_before(self, stream: str, offset: int) -> None:
+        """Let the entries before offset expire."""
+        with self._changed:
+            content = self._content(stream)
+            surplus = min(
+                max(0, offset - content.first_offset), len(content.entries)
+            )
+            del content.entries[:surplus]
+            content.first_offset += surplus
+
     def truncate(self, stream: str, next_offset: int) -> None:
         """Lose the end of a stream."""
         with self._changed:
--- a/tools/standins/orders.py
+++ b/tools/standins/orders.py
@@ -10,6 +10,7 @@
 )
 from tools.standins.web import WebReply, WebRequest, json_reply
 
+OK = 200
 CONFLICT = 409
 
 
@@ -23,16 +24,21 @@
 
     def handle(self, request: WebRequest, is_fencing_ignored: bool) -> WebReply:
         """Answer a probe or take an order."""
+        if request.method != 'POST':
+            return json_reply(self._reply(True, is_fencing_ignored))
+        order = msgspec.json.decode(request.body, type=EngineOrder)
+        reply = self.take(order, is_fencing_ignored)
+        return json_reply(reply, OK if reply.is_taken else CONFLICT)
+
+    def take(self, order: EngineOrder, is_fencing_ignored: bool) -> OrderReply:
+        """Take an order unless it is refused for its fencing number."""
         with self._lock:
-            if request.method != 'POST':
-                return json_reply(self._reply(True, is_fencing_ignored))
-            order = msgspec.json.decode(request.body, type=EngineOrder)
             is_old = order.fence < self._highest_fence
             if is_old and not is_fencing_ignored:
-                return json_reply(self._reply(False, False), CONFLICT)
+                return self._reply(False, False)
             self._highest_fence = max(self._highest_fence, order.fence)
             self.taken.append(order)
-            return json_reply(self._reply(True, is_fencing_ignored))
+            return self._reply(True, is_fencing_ignored)
 
     def _reply(self, is_taken: bool, is_fencing_ignored: bool) -> OrderReply:
         return OrderReply(
