--- a/marigoldhoist/components/entry/gateway.py
+++ b/marigoldhoist/components/entry/gateway.py
@@ -32,11 +32,17 @@
             self.req.close_connection = True
         with self._app.counted():
             reply = self._app.answer(self.env)
+            self._close_after_unread_body()
             if _is_stream(reply):
                 self._send_stream(reply)
             else:
                 self._send_whole(reply)
 
+    def _close_after_unread_body(self) -> None:
+        # cheroot would wait for the rest of the body before it answers.
+        if getattr(self.req.rfile, 'remaining', 0):
+            self.req.close_connection = True
+
     def _send_whole(self, reply: Reply) -> None:
         try:
             body = b''.join(reply.body)
--- /dev/null
+++ b/tests/components/entry/test_answers.py
@@ -0,0 +1,218 @@
+"""Answers reach callers whole, or are seen to be cut, and are billed."""
+
+import socket
+from collections.abc import Iterator
+from functools import partial
+
+import msgspec
+import pytest
+
+from marigoldhoist.components.billing.models import Bill
+from marigoldhoist.components.hosts.models import HostEntry, HostRole
+from marigoldhoist.components.platform_log.const import BILL_STREAM
+from marigoldhoist.components.upstreams.const import COMPONENT as UPSTREAMS
+from marigoldhoist.components.upstreams.service import UpstreamService
+from tests.scripted import (
+    DONE,
+    LAST,
+    PORT,
+    STREAM_HEAD,
+    ScriptedUpstream,
+    chunk,
+    event,
+    scripted,
+)
+from tools.world.samples import WORKSPACE_KEY
+from tools.world.world import ENTRY_PORT, World, wait_until
+
+SMALL = 'pult-model/small'
+LARGE = 'pult-model/large'
+BODY = b'{"model":"pult-model","messages":[],"stream":%b}'
+WHOLE_STREAM = (STREAM_HEAD + chunk(event(1)), chunk(event(2) + DONE) + LAST)
+
+
+def ask(is_streamed: bytes = b'true', request_id: bytes = b'') -> bytes:
+    """Return the bytes of a chat request."""
+    body = BODY % is_streamed
+    return b'\r\n'.join(
+        (
+            b'POST /v1/chat/completions HTTP/1.1',
+            b'Host: test',
+            b'Authorization: Bearer %b' % WORKSPACE_KEY.encode(),
+            b'Content-Length: %d' % len(body),
+            b'X-Request-Id: %b' % request_id,
+            b'',
+            body,
+        )
+    )
+
+
+@pytest.fixture(scope='module')
+def world() -> Iterator[World]:
+    """Start one daemon."""
+    with World() as started:
+        started.add_daemon('entry-1', 'zg-trnje')
+        yield started
+
+
+def serve_by(world: World, upstream: ScriptedUpstream) -> None:
+    """Make the scripted upstream the only engine."""
+    kernel = world.kernels_by_host['entry-1']
+    found = kernel.find(UPSTREAMS, UpstreamService)
+    for known in found.replicas_serving(SMALL):
+        world.unlist_host(known.host)
+    name = f'engine-{upstream.address}'
+    world.list_host(
+        HostEntry(
+            name,
+            HostRole.ENGINE,
+            upstream.address,
+            PORT,
+            'zg-trnje',
+            serves=(SMALL, LARGE),
+        )
+    )
+    wait_until(
+        lambda: (
+            [replica.host for replica in found.replicas_serving(SMALL)]
+            == [name]
+        ),
+        'the scripted upstream',
+    )
+
+
+@pytest.fixture
+def caller(world: World) -> Iterator[socket.socket]:
+    """Connect to the daemon."""
+    target = (world.address_of('entry-1'), ENTRY_PORT)
+    with socket.create_connection(target, timeout=10) as connected:
+        yield connected
+
+
+def read_until(caller: socket.socket, mark: bytes) -> bytes:
+    """Read until the mark or the end of the connection."""
+    received = b''
+    while mark not in received:
+        more = caller.recv(65_536)
+        if not more:
+            break
+        received += more
+    return received
+
+
+def bill_of(world: World, request_id: bytes) -> Bill:
+    """Wait until the request's bill is on the log; there is only one."""
+    found = partial(_bills_of, world, request_id.decode())
+    wait_until(lambda: bool(found()), 'the bill')
+    assert len(found()) == 1
+    return found()[0]
+
+
+def _bills_of(world: World, request_id: str) -> list[Bill]:
+    bills = [
+        msgspec.json.decode(entry.record.body, type=Bill)
+        for entry in world.log.store.entries(BILL_STREAM)
+    ]
+    return [bill for bill in bills if bill.request_id == request_id]
+
+
+class TestStreams:
+    """Streamed answers."""
+
+    def test_whole_streams_reuse_both_connections(
+        self, world: World, caller: socket.socket
+    ) -> None:
+        with scripted(WHOLE_STREAM, WHOLE_STREAM) as upstream:
+            serve_by(world, upstream)
+            for name in (b'whole-1', b'whole-2'):
+                caller.sendall(ask(request_id=name))
+                received = read_until(caller, chunk(DONE) + LAST)
+                assert event(1) in received
+                assert event(2) in received
+                bill = bill_of(world, name)
+                assert (bill.tokens, bill.is_whole) == (2, True)
+            assert upstream.connections == 1
+
+    def test_cut_stream_is_told_and_its_connection_dropped(
+        self, world: World, caller: socket.socket
+    ) -> None:
+        cut = (STREAM_HEAD + chunk(event(1)), chunk(event(2))[:-5], b'cut')
+        with scripted(cut, WHOLE_STREAM) as upstream:
+            serve_by(world, upstream)
+            caller.sendall(ask(request_id=b'cut'))
+            received = read_until(caller, b'no such mark')
+            assert b'event: error\ndata: {"error":{"code":"upstream_cut"' in (
+                received
+            )
+            assert not received.endswith(LAST)
+            assert DONE not in received
+            bill = bill_of(world, b'cut')
+            assert (bill.tokens, bill.is_whole) == (1, False)
+
+    def test_answer_that_ends_without_its_mark_is_cut(
+        self, world: World, caller: socket.socket
+    ) -> None:
+        with scripted((STREAM_HEAD + chunk(event(1)) + LAST,)) as upstream:
+            serve_by(world, upstream)
+            caller.sendall(ask())
+            received = read_until(caller, b'no such mark')
+            assert b'event: error' in received
+            assert not received.endswith(LAST)
+
+    def test_bytes_after_the_end_are_never_reused(
+        self, world: World, caller: socket.socket
+    ) -> None:
+        late = (*WHOLE_STREAM, chunk(b'late bytes of another answer'))
+        with scripted(late, WHOLE_STREAM) as upstream:
+            serve_by(world, upstream)
+            caller.sendall(ask())
+            read_until(caller, chunk(DONE) + LAST)
+            caller.sendall(ask())
+            received = read_until(caller, chunk(DONE) + LAST)
+            assert b'late' not in received
+            assert event(2) in received
+
+    def test_caller_that_leaves_closes_the_upstream_and_is_billed(
+        self, world: World, caller: socket.socket
+    ) -> None:
+        with scripted((STREAM_HEAD + chunk(event(1)), b'silent')) as upstream:
+            serve_by(world, upstream)
+            caller.sendall(ask(request_id=b'left'))
+            read_until(caller, event(1))
+            caller.close()
+            assert upstream.closed_early.wait(5)
+            bill = bill_of(world, b'left')
+            assert (bill.tokens, bill.is_whole) == (1, False)
+
+    def test_old_caller_gets_the_stream_without_chunks(
+        self, world: World, caller: socket.socket
+    ) -> None:
+        with scripted(WHOLE_STREAM) as upstream:
+            serve_by(world, upstream)
+            caller.sendall(ask().replace(b'HTTP/1.1', b'HTTP/1.0', 1))
+            received = read_until(caller, b'no such mark')
+            assert received.endswith(event(1) + event(2) + DONE)
+
+
+class TestWholeAnswers:
+    """Unstreamed answers."""
+
+    def test_length_is_told(self, world: World, caller: socket.socket) -> None:
+        body = b'{"usage":{"completion_tokens":4}}'
+        head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+        with scripted((head + body,)) as upstream:
+            serve_by(world, upstream)
+            caller.sendall(ask(b'false'))
+            received = read_until(caller, body)
+            assert b'Content-Length: %d\r\n' % len(body) in received
+
+    def test_cut_answer_is_a_failure(
+        self, world: World, caller: socket.socket
+    ) -> None:
+        cut = b'HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{"usage":{'
+        with scripted((cut, b'cut')) as upstream:
+            serve_by(world, upstream)
+            caller.sendall(ask(b'false'))
+            received = read_until(caller, b'}}')
+            assert received.startswith(b'HTTP/1.1 502 ')
+            assert b'X-Verdict: may_have_run\r\n' in received
--- /dev/null
+++ b/tests/scripted.py
@@ -0,0 +1,91 @@
+"""An upstream that sends the bytes it is told to, on real sockets."""
+
+import contextlib
+import socket
+import threading
+from collections.abc import Iterator
+
+from tools.world.addresses import next_address
+
+PORT = 7450
+STREAM_HEAD = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+
+
+def chunk(content: bytes) -> bytes:
+    """Frame content as one chunk."""
+    return b'%x\r\n%b\r\n' % (len(content), content)
+
+
+def event(number: int) -> bytes:
+    """Return one event with content."""
+    return b'data: {"choices":[{"delta":{"content":"w%d"}}]}\n\n' % number
+
+
+DONE = b'data: [DONE]\n\n'
+LAST = b'0\r\n\r\n'
+
+
+class ScriptedUpstream:
+    """Sends one script for each request and counts connections."""
+
+    def __init__(self, *scripts: tuple[bytes, ...]) -> None:
+        self.address = next_address()
+        self.connections = 0
+        self.closed_early = threading.Event()
+        self._scripts = list(scripts)
+        self._listener = socket.create_server((self.address, PORT))
+
+    def accept_all(self) -> None:
+        """Serve one connection after another until closed."""
+        with contextlib.suppress(OSError):
+            for connection, _ in iter(self._listener.accept, None):
+                self.connections += 1
+                self._serve(connection)
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._listener.close()
+
+    def _serve(self, connection: socket.socket) -> None:
+        connection.settimeout(5)
+        with connection, contextlib.suppress(OSError):
+            while self._scripts and _read_request(connection):
+                self._send(connection, self._scripts.pop(0))
+
+    def _send(
+        self, connection: socket.socket, script: tuple[bytes, ...]
+    ) -> None:
+        for piece in script:
+            if piece == b'cut':
+                connection.shutdown(socket.SHUT_RDWR)
+            elif piece == b'silent':
+                if not connection.recv(1):
+                    self.closed_early.set()
+            else:
+                connection.sendall(piece)
+
+
+def _read_request(connection: socket.socket) -> bool:
+    with connection.makefile('rb') as reader:
+        length = 0
+        for line in iter(reader.readline, b'\r\n'):
+            if not line:
+                return False
+            if line.lower().startswith(b'content-length:'):
+                length = int(line.partition(b':')[2])
+        return len(reader.read(length)) == length
+
+
+@contextlib.contextmanager
+def scripted(*scripts: tuple[bytes, ...]) -> Iterator[ScriptedUpstream]:
+    """Run a scripted upstream on a thread."""
+    upstream = ScriptedUpstream(*scripts)
+    thread = threading.Thread(target=upstream.accept_all, daemon=True)
+    thread.start()
+    try:
+        yield upstream
+    finally:
+        upstream.close()
--- /dev/null
+++ b/tools/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches; each prints figures as ratios within one run."""
--- a/tools/world/samples.py
+++ b/tools/world/samples.py
@@ -42,7 +42,12 @@
 
 
 def settings_text(
-    host: str, domain: str, address: str, log: str, platform: str
+    host: str,
+    domain: str,
+    address: str,
+    log: str,
+    platform: str,
+    entry: dict[str, object] | None = None,
 ) -> str:
     """Return a daemon's settings for a world whose platform is there."""
     sections = {
@@ -57,7 +62,7 @@
             'long_poll_s': 0.5,
         },
         'hosts': {'url': f'http://{platform}:7001', 'poll_interval_s': 0.2},
-        'entry': {'balancer_grace_s': 0.2},
+        'entry': {'balancer_grace_s': 0.2} | (entry or {}),
         'operator': {'key_digests': [digest_of(OPERATOR_KEY)]},
         'peers': {'key_variable': 'MARIGOLDHOIST_PEER_KEY'},
     }
--- a/tools/world/world.py
+++ b/tools/world/world.py
@@ -44,6 +44,7 @@
         self.log_by_host: dict[str, LogServer] = {}
         self._entries_by_host: dict[str, HostEntry] = {}
         self._servers: list[WebServer] = []
+        self.entry_settings: dict[str, object] = {}
         self.change_table(change_of(SAMPLE_ROWS if rows is None else rows))
 
     def __enter__(self) -> 'World':
@@ -110,7 +111,12 @@
         self.log_by_host[host] = own_log
         self._serve(own_log.server)
         text = settings_text(
-            host, domain, address, own_log.server.address, self.platform
+            host,
+            domain,
+            address,
+            own_log.server.address,
+            self.platform,
+            self.entry_settings,
         )
         self.list_host(
             HostEntry(host, HostRole.DAEMON, address, PEER_PORT, domain)
