Refuse requests after a pause until the table has caught up

Cause: a process that was frozen wakes with requests waiting and an old table; the first of them ran on a version withdrawn meanwhile.

Change: freshness notices the gap, refuses admissions and tries (a new recheck hook of stages) with stale_table and not_run, and reads log or peer to the head.

--- a/marigoldhoist/components/dispatch/attempts.py
+++ b/marigoldhoist/components/dispatch/attempts.py
@@ -60,6 +60,9 @@
             return Err(
                 RequestFailure(ErrorCode.NO_VERSION, 'version was withdrawn')
             )
+        refusal = passage.recheck()
+        if refusal is not None:
+            return Err(refusal)
         started_s = time.monotonic()
         sent = self._upstreams.send(replica, upstream_call(request, version))
         if isinstance(sent, Ok) and version:
--- a/marigoldhoist/components/dispatch/stages.py
+++ b/marigoldhoist/components/dispatch/stages.py
@@ -45,6 +45,9 @@
     def admit(self, request: CallerRequest) -> Admission:
         """Refuse or answer the request, or return none to let it pass."""
 
+    def recheck(self, request: CallerRequest) -> RequestFailure | None:
+        """Refuse the next try, which is about to be sent."""
+
     def attempted(self, request: CallerRequest, attempt: Attempt) -> None:
         """Learn of one try."""
 
@@ -84,6 +87,14 @@
         self.entered: list[Stage] = []
         self._is_settled = False
 
+    def recheck(self) -> RequestFailure | None:
+        """Return the first refusal of the next try, if any."""
+        for stage in self.entered:
+            refusal = stage.recheck(self.request)
+            if refusal is not None:
+                return refusal
+        return None
+
     def report(self, attempt: Attempt) -> None:
         """Tell the stages of one try."""
         for stage in self.entered:
--- a/marigoldhoist/components/platform_log/service.py
+++ b/marigoldhoist/components/platform_log/service.py
@@ -55,6 +55,17 @@
             work = partial(follower.run, self._settings.long_poll_s)
             self._kernel.spawn(f'follow-{stream}', work)
 
+    def read_to_the_head(self, stream: str) -> bool:
+        """Read a stream until nothing is left; False where it cannot be."""
+        follower = self.followers_by_stream[stream]
+        feed = self.feeds_by_stream[stream]
+        position = -1
+        while position < feed.next_offset:
+            position = feed.next_offset
+            if not follower.read_once(0):
+                return False
+        return True
+
     def append(
         self, stream: str, records: tuple[Record, ...], timeout_s: float
     ) -> Result[tuple[int, ...], AppendUnknown]:
--- a/marigoldhoist/components/relay/service.py
+++ b/marigoldhoist/components/relay/service.py
@@ -36,6 +36,12 @@
         self._kernel.spawn('relay-announce', self._announce)
         self._kernel.spawn('relay-fetch', self._fetch_all)
 
+    def read_to_the_head(self, stream: str) -> bool:
+        """Fetch from a peer until it has no more; False if none answers."""
+        return any(
+            self._drain(peer.host, stream) for peer in self._peers.live()
+        )
+
     def _announce(self) -> None:
         while not self._kernel.stopping.wait(ANNOUNCE_INTERVAL_S):
             positions = Positions(
@@ -70,10 +76,21 @@
                 continue
             self._fetch(peer, stream)
 
-    def _fetch(self, peer: str, stream: str) -> None:
+    def _drain(self, peer: str, stream: str) -> bool:
+        feed = self._log.feeds_by_stream[stream]
+        position = -1
+        while position < feed.next_offset:
+            position = feed.next_offset
+            if not self._fetch(peer, stream):
+                return False
+        return True
+
+    def _fetch(self, peer: str, stream: str) -> bool:
         feed = self._log.feeds_by_stream[stream]
         wanted = msgspec.msgpack.encode(Fetch(stream, feed.next_offset))
         reply = self._peers.call(peer, FETCH_TOPIC, wanted, FETCH_TIMEOUT_S)
-        if isinstance(reply, Ok) and reply.ok_value:
-            fetched = msgspec.json.decode(reply.ok_value, type=Fetched)
-            feed.offer(fetched.entries)
+        if not isinstance(reply, Ok) or not reply.ok_value:
+            return False
+        fetched = msgspec.json.decode(reply.ok_value, type=Fetched)
+        feed.offer(fetched.entries)
+        return True
--- a/marigoldhoist/core/errors.py
+++ b/marigoldhoist/core/errors.py
@@ -28,6 +28,7 @@
     UNKNOWN_MODEL = 'unknown_model'
     UNKNOWN_SERVICE = 'unknown_service'
     NO_TABLE = 'no_table'
+    STALE_TABLE = 'stale_table'
     NO_VERSION = 'no_version'
     NO_REPLICA = 'no_replica'
     OVER_LIMIT = 'over_limit'
--- a/tools/demo/__main__.py
+++ b/tools/demo/__main__.py
@@ -9,9 +9,9 @@
 import fire
 import msgspec
 
-from tools.demo.processes import Processes
 from tools.demo.report import Report
 from tools.demo.run import Demo
+from tools.world.processes import Processes
 
 
 def demo(binary: str = '', json: bool = False) -> None:
--- a/tools/demo/const.py
+++ b/tools/demo/const.py
@@ -28,7 +28,6 @@
 PAUSE_S: Final = 0.1
 START_TIMEOUT_S: Final = 15.0
 SETTLE_TIMEOUT_S: Final = 6.0
-STOP_TIMEOUT_S: Final = 8.0
 RESENDS: Final = 6
 HOST_LIST_LAG_S: Final = 1.0
 MAX_IN_FORCE_S: Final = 4.0
--- a/tools/demo/run.py
+++ b/tools/demo/run.py
@@ -30,8 +30,8 @@
 from tools.demo.plan import make_plan, starting_rows, write_settings
 from tools.demo.platform import PlatformClient
 from tools.demo.probe import Probe
-from tools.demo.processes import Processes
 from tools.demo.report import Counter, Report
+from tools.world.processes import Processes
 from tools.world.samples import change_of
 
 POLL_S = 0.1
--- a/tools/demo/processes.py
+++ b/tools/world/processes.py
@@ -1,13 +1,15 @@
-"""Start, kill and stop the demo's processes."""
+"""Start, freeze, kill and stop processes."""
 
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 
-from tools.demo.const import STOP_TIMEOUT_S
 from tools.world.samples import PEER_KEY
 
+STOP_TIMEOUT_S = 8.0
+
 
 class Processes:
     """Child processes by name; use it in a with block."""
@@ -55,6 +57,14 @@
         process.kill()
         process.wait()
 
+    def freeze(self, name: str) -> None:
+        """Pause a process, unaware."""
+        self._process_by_name[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a paused process go on."""
+        self._process_by_name[name].send_signal(signal.SIGCONT)
+
     def ask_to_stop(self, name: str) -> None:
         """Begin a planned stop."""
         self._process_by_name[name].terminate()
