Claim non-repeatable calls on the log before they run

Cause: a duplicate of a deposit at a second host, or after a lost answer, ran again; nothing tied an order to one host.

A claim whose append is not confirmed is refused as not run and released; the fold counts a released claim as spent, also when it arrives later. Age is judged by the log's time. A writer batches records of a daemon. Dispatch hands the body of an unstreamed answer to the stages.

--- /dev/null
+++ b/marigoldhoist/components/claims/service.py
@@ -0,0 +1,43 @@
+"""The claim service."""
+
+from marigoldhoist.components.claims.const import STAGE_ORDER
+from marigoldhoist.components.claims.models import ClaimStatus
+from marigoldhoist.components.claims.settings import ClaimSettings
+from marigoldhoist.components.claims.stage import ClaimStage
+from marigoldhoist.components.dispatch.const import COMPONENT as DISPATCH
+from marigoldhoist.components.dispatch.service import DispatchService
+from marigoldhoist.components.platform_log.const import COMPONENT as LOG
+from marigoldhoist.components.platform_log.const import WORK_STREAM
+from marigoldhoist.components.platform_log.service import LogService
+from marigoldhoist.components.platform_log.work_writer import WorkWriter
+from marigoldhoist.core.identity import DaemonSettings
+from marigoldhoist.core.kernel import BaseService, Kernel
+
+
+class ClaimService(BaseService):
+    """Puts the claim stage around every request."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        log = kernel.find(LOG, LogService)
+        feed = log.feeds_by_stream[WORK_STREAM]
+        self._writer = WorkWriter(kernel, log, WORK_STREAM)
+        self.stage = ClaimStage(
+            kernel.settings.section(DaemonSettings).host,
+            kernel.settings.section(ClaimSettings),
+            feed,
+            self._writer,
+        )
+        feed.add_fold(self.stage.fold.apply)
+        dispatch = kernel.find(DISPATCH, DispatchService)
+        dispatch.add_stage(STAGE_ORDER, self.stage)
+
+    def start(self) -> None:
+        """Begin to append claims and outcomes."""
+        self._kernel.spawn('claims', self._writer.run)
+
+    def status(self) -> ClaimStatus:
+        """Return what operators see of the claims."""
+        fold = self.stage.fold
+        unshipped = len(self._writer.kept())
+        return ClaimStatus(len(fold), fold.covered_from_ms, unshipped)
--- a/marigoldhoist/components/dispatch/metering.py
+++ b/marigoldhoist/components/dispatch/metering.py
@@ -1,5 +1,7 @@
 """Count the tokens of an answer while it passes."""
 
+import dataclasses
+
 import msgspec
 
 from marigoldhoist.components.upstreams.const import DONE_EVENT, EVENT_PREFIX
@@ -17,12 +19,21 @@
     usage: Usage = Usage()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Recorded:
+    """An answer's body as far as it may be wanted again."""
+
+    content_type: str
+    body: bytes
+
+
 class StreamMeter:
     """Counts the events of a stream and notices its end mark."""
 
     def __init__(self) -> None:
         self.tokens = 0
         self.is_whole = False
+        self.recorded = b''
         self._tail = b''
 
     def feed(self, chunk: bytes) -> None:
@@ -50,6 +61,11 @@
         self.is_whole = False
         self._body = bytearray()
 
+    @property
+    def recorded(self) -> bytes:
+        """Return the body as far as it came."""
+        return bytes(self._body)
+
     def feed(self, chunk: bytes) -> None:
         """Take the next bytes."""
         self._body += chunk
--- a/marigoldhoist/components/dispatch/service.py
+++ b/marigoldhoist/components/dispatch/service.py
@@ -12,7 +12,11 @@
 from marigoldhoist.components.dispatch.attempts import Attempts
 from marigoldhoist.components.dispatch.calls import serving_name
 from marigoldhoist.components.dispatch.const import JSON_TYPE, TOKENS_PER_COST
-from marigoldhoist.components.dispatch.metering import BodyMeter, StreamMeter
+from marigoldhoist.components.dispatch.metering import (
+    BodyMeter,
+    Recorded,
+    StreamMeter,
+)
 from marigoldhoist.components.dispatch.stages import (
     Attempt,
     Outcome,
@@ -139,9 +143,16 @@
                 first_token_s=first_token_s,
                 duration_s=time.monotonic() - started_s,
             )
-            self._finish(passage, version, attempt)
-
-    def _finish(self, passage: Passage, version: str, attempt: Attempt) -> None:
+            recorded = Recorded(answer.content_type, meter.recorded)
+            self._finish(passage, version, attempt, recorded)
+
+    def _finish(
+        self,
+        passage: Passage,
+        version: str,
+        attempt: Attempt,
+        recorded: Recorded,
+    ) -> None:
         request = passage.request
         row = self._table.state.version(request.target, version)
         price = row.cost_per_1k_tokens if row else 0
@@ -166,5 +177,7 @@
                 tokens=attempt.tokens,
                 cost=cost,
                 is_whole=attempt.is_whole,
+                content_type=recorded.content_type,
+                body=recorded.body,
             )
         )
--- a/marigoldhoist/components/dispatch/stages.py
+++ b/marigoldhoist/components/dispatch/stages.py
@@ -37,6 +37,8 @@
     cost: float = 0
     is_whole: bool = False
     failure: RequestFailure | None = None
+    content_type: str = ''
+    body: bytes = b''
 
 
 class Stage:
--- /dev/null
+++ b/tests/components/claims/test_whole.py
@@ -0,0 +1,109 @@
+"""Orders through whole daemons and a plain service."""
+
+import time
+import uuid
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+
+import pytest
+
+from tools.standins.log import LogFaults
+from tools.standins.plain import PlainFaults
+from tools.world.caller import Caller, CallerReply
+from tools.world.samples import WORKSPACE_KEY
+from tools.world.world import World, wait_until
+
+
+@pytest.fixture
+def world() -> Iterator[World]:
+    """Start two daemons and a plain service."""
+    with World() as started:
+        started.add_plain('plain-1', 'zg-trnje', 'pult-narudzbe')
+        started.add_daemon('entry-1', 'zg-trnje')
+        started.add_daemon('entry-2', 'zg-dubrava')
+        wait_until(lambda: order(started, 'entry-1').status == 200, 'entry-1')
+        wait_until(lambda: order(started, 'entry-2').status == 200, 'entry-2')
+        started.plain_by_host['plain-1'].calls.clear()
+        yield started
+
+
+def new_id() -> str:
+    """Return a UUIDv7 of now."""
+    now_ms = int(time.time() * 1000)
+    random = uuid.uuid4().int & ((1 << 62) - 1)
+    return str(uuid.UUID(int=(now_ms << 80) | (7 << 76) | (2 << 62) | random))
+
+
+def order(world: World, host: str, request_id: str = '') -> CallerReply:
+    """Send a deposit to a daemon."""
+    return Caller(world.address_of(host), WORKSPACE_KEY).call_service(
+        'pult-narudzbe/deposits', {'X-Request-Id': request_id or new_id()}
+    )
+
+
+class TestOrder:
+    """A deposit is taken at most once, and the caller is told the truth."""
+
+    def test_simultaneous_at_two_hosts(self, world: World) -> None:
+        plain = world.plain_by_host['plain-1']
+        plain.faults = PlainFaults(delay_s=0.3)
+        request_id = new_id()
+        hosts = ('entry-1', 'entry-2', 'entry-1', 'entry-2')
+        with ThreadPoolExecutor(len(hosts)) as pool:
+            send = partial(order, world, request_id=request_id)
+            replies = list(pool.map(send, hosts))
+        assert len(plain.calls) == 1
+        assert sorted(reply.status for reply in replies) == [
+            200,
+            409,
+            409,
+            409,
+        ]
+        refused = [reply for reply in replies if reply.status == 409]
+        assert {reply.verdict for reply in refused} == {'may_have_run'}
+
+    def test_late_duplicate_gets_the_recorded_answer(
+        self, world: World
+    ) -> None:
+        request_id = new_id()
+        first = order(world, 'entry-1', request_id)
+        wait_until(
+            lambda: order(world, 'entry-2', request_id).status == 200,
+            'the recorded answer',
+        )
+        assert order(world, 'entry-2', request_id).body == first.body
+        assert len(world.plain_by_host['plain-1'].calls) == 1
+
+    def test_lost_answer_is_never_sent_again(self, world: World) -> None:
+        plain = world.plain_by_host['plain-1']
+        plain.faults = PlainFaults(lose_answer=True)
+        request_id = new_id()
+        order(world, 'entry-1', request_id)
+        plain.faults = PlainFaults()
+        for host in ('entry-1', 'entry-2'):
+            assert order(world, host, request_id).status == 409
+        assert len(plain.calls) == 1
+
+    def test_log_outage_refuses_and_the_retry_runs(self, world: World) -> None:
+        world.set_log_faults(LogFaults(is_down=True))
+        request_id = new_id()
+        reply = order(world, 'entry-1', request_id)
+        assert (reply.status, reply.verdict) == (503, 'not_run')
+        assert reply.error_code == 'log_unavailable'
+        assert not world.plain_by_host['plain-1'].calls
+        world.set_log_faults(LogFaults())
+        wait_until(
+            lambda: order(world, 'entry-2', request_id).status == 200,
+            'the retry',
+        )
+        assert len(world.plain_by_host['plain-1'].calls) == 1
+
+    def test_lost_append_answers(self, world: World) -> None:
+        world.set_log_faults(LogFaults(lose_append_answer=0.5))
+        ids = [new_id() for _ in range(6)]
+        for request_id in ids:
+            order(world, 'entry-1', request_id)
+            order(world, 'entry-2', request_id)
+        calls = world.plain_by_host['plain-1'].calls
+        assert len(calls) == len({call.request_id for call in calls})
--- /dev/null
+++ b/tests/components/log_fakes.py
@@ -0,0 +1,105 @@
+"""A log that loses, delays and duplicates what is written to it."""
+
+import dataclasses
+import enum
+from concurrent.futures import Future
+
+from marigoldhoist.components.platform_log.feed import Feed
+from marigoldhoist.components.platform_log.models import (
+    LogEntry,
+    Record,
+    new_record,
+)
+from marigoldhoist.components.platform_log.work_writer import Appended
+
+START_MS = 1_800_000_000_000
+
+
+class Fate(enum.Enum):
+    """What becomes of an append."""
+
+    CONFIRMED = 'confirmed'
+    ANSWER_LOST = 'answer lost'
+    DOUBLED = 'doubled'
+    DELAYED = 'delayed'
+    REFUSED = 'refused'
+
+
+@dataclasses.dataclass(slots=True)
+class FakeLog:
+    """Entries of one stream, and appends that have not arrived yet."""
+
+    now_ms: int = START_MS
+    entries: list[LogEntry] = dataclasses.field(default_factory=list)
+    delayed: list[Record] = dataclasses.field(default_factory=list)
+
+    def append(self, record: Record, fate: Fate) -> Appended:
+        """Take a record as its fate says; return the offset if told."""
+        if fate is Fate.REFUSED:
+            return None
+        if fate is Fate.DELAYED:
+            self.delayed.append(record)
+            return None
+        offset = self._take(record)
+        if fate is Fate.DOUBLED:
+            offset = self._take(record)
+        return None if fate is Fate.ANSWER_LOST else offset
+
+    def pause(self, duration_ms: int) -> None:
+        """Let time pass; somebody else writes a record meanwhile."""
+        if duration_ms:
+            self.now_ms += duration_ms
+            self._take(new_record('other', None))
+
+    def arrive(self) -> None:
+        """Take every delayed append."""
+        arrived = tuple(self.delayed)
+        self.delayed.clear()
+        for record in arrived:
+            self._take(record)
+
+    def _take(self, record: Record) -> int:
+        offset = len(self.entries)
+        self.entries.append(LogEntry(offset, self.now_ms, record))
+        return offset
+
+
+class FakeWriter:
+    """Appends at once with the fate set for the next record."""
+
+    def __init__(self, log: FakeLog, feed: Feed) -> None:
+        self.log = log
+        self.feed = feed
+        self.fate = Fate.CONFIRMED
+        self.is_failing = False
+        self.is_lagging = False
+        self.pause_ms = 0
+        self.kept_by_id: dict[str, Record] = {}
+
+    def submit(self, record: Record) -> Future[Appended]:
+        """Append once, after the pause that is set."""
+        self.log.pause(self.pause_ms)
+        waiting: Future[Appended] = Future()
+        waiting.set_result(self.log.append(record, self.fate))
+        if not self.is_lagging:
+            self.catch_up()
+        return waiting
+
+    def keep(self, record: Record) -> Future[Appended]:
+        """Hold a record until `ship`."""
+        self.kept_by_id.setdefault(record.id, record)
+        return Future()
+
+    def cancel(self, _record_id: str) -> bool:
+        """Refuse: every submitted record was sent at once."""
+        return False
+
+    def ship(self, fate: Fate) -> None:
+        """Append what is held; it stays held until confirmed."""
+        for record in tuple(self.kept_by_id.values()):
+            if self.log.append(record, fate) is not None:
+                self.kept_by_id.pop(record.id)
+
+    def catch_up(self) -> None:
+        """Fold everything that is on the log."""
+        self.feed.offer(self.log.entries[self.feed.next_offset :])
