--- a/marigoldhoist/components/dispatch/bodies.py
+++ b/marigoldhoist/components/dispatch/bodies.py
@@ -28,11 +28,15 @@
 
 
 class StreamEnd(msgspec.Struct, frozen=True):
-    """How a stream ended; the first token's time counts from its head."""
+    """How an answer ended; the first token's time counts from its head.
+
+    The body of an unstreamed answer is kept, as it may be wanted again.
+    """
 
     tokens: int
     is_whole: bool
     first_token_s: float
+    body: bytes = b''
 
 
 OnEnd = Callable[[StreamEnd], None]
--- a/tests/core/test_kernel.py
+++ b/tests/core/test_kernel.py
@@ -6,7 +6,12 @@
 
 from marigoldhoist.core import kernel as kernel_module
 from marigoldhoist.core.errors import KernelError
-from marigoldhoist.core.kernel import BaseService, Component, Kernel
+from marigoldhoist.core.kernel import (
+    BaseService,
+    Component,
+    Kernel,
+    load_components,
+)
 from marigoldhoist.core.settings import parse_settings
 from tools.world.samples import settings_text
 
@@ -44,6 +49,7 @@
 @pytest.fixture
 def kernel(monkeypatch: pytest.MonkeyPatch) -> Iterator[Kernel]:
     """Return a kernel whose components are replaced."""
+    load_components()
     calls.clear()
     parts = {'b': part('b'), 'a': part('a', 'b')}
     monkeypatch.setattr(kernel_module, 'components_by_name', parts)
