--- a/marigoldhoist/components/upstreams/const.py
+++ b/marigoldhoist/components/upstreams/const.py
@@ -9,3 +9,4 @@
 CONNECTIONS_PER_REPLICA: Final = 64
 
 EVENT_STREAM_TYPE: Final = 'text/event-stream'
+DEFAULT_SLOTS: Final = 8
