Fill the daemon with running streams in the overload test

Change: the requests in flight are streams whose first event has come. Conclusion: the check is as strict and no longer depends on time.

--- a/tests/components/entry/test_answers.py
+++ b/tests/components/entry/test_answers.py
@@ -8,25 +8,19 @@
 import pytest
 
 from marigoldhoist.components.billing.models import Bill
-from marigoldhoist.components.hosts.models import HostEntry, HostRole
 from marigoldhoist.components.platform_log.const import BILL_STREAM
-from marigoldhoist.components.upstreams.const import COMPONENT as UPSTREAMS
-from marigoldhoist.components.upstreams.service import UpstreamService
 from tests.scripted import (
     DONE,
     LAST,
-    PORT,
     STREAM_HEAD,
-    ScriptedUpstream,
     chunk,
     event,
     scripted,
+    serve_by,
 )
 from tools.world.samples import WORKSPACE_KEY
 from tools.world.world import ENTRY_PORT, World, wait_until
 
-SMALL = 'pult-model/small'
-LARGE = 'pult-model/large'
 BODY = b'{"model":"pult-model","messages":[],"stream":%b}'
 WHOLE_STREAM = (STREAM_HEAD + chunk(event(1)), chunk(event(2) + DONE) + LAST)
 
@@ -55,32 +49,6 @@
         yield started
 
 
-def serve_by(world: World, upstream: ScriptedUpstream) -> None:
-    """Make the scripted upstream the only engine."""
-    kernel = world.kernels_by_host['entry-1']
-    found = kernel.find(UPSTREAMS, UpstreamService)
-    for known in found.replicas_serving(SMALL):
-        world.unlist_host(known.host)
-    name = f'engine-{upstream.address}'
-    world.list_host(
-        HostEntry(
-            name,
-            HostRole.ENGINE,
-            upstream.address,
-            PORT,
-            'zg-trnje',
-            serves=(SMALL, LARGE),
-        )
-    )
-    wait_until(
-        lambda: (
-            [replica.host for replica in found.replicas_serving(SMALL)]
-            == [name]
-        ),
-        'the scripted upstream',
-    )
-
-
 @pytest.fixture
 def caller(world: World) -> Iterator[socket.socket]:
     """Connect to the daemon."""
--- a/tests/components/entry/test_border.py
+++ b/tests/components/entry/test_border.py
@@ -1,11 +1,13 @@
 """Malformed, oversized and slow requests are refused with a reason."""
 
+import contextlib
 import socket
 from collections.abc import Iterator
 
 import msgspec
 import pytest
 
+from tests.scripted import STREAM_HEAD, chunk, event, scripted, serve_by
 from tools.world.samples import WORKSPACE_KEY
 from tools.world.world import ENTRY_PORT, World
 
@@ -13,6 +15,7 @@
 CHAT = 'POST /v1/chat/completions HTTP/1.1\r\nHost: test\r\n'
 CHUNKED = f'{CHAT}{KEY}Transfer-Encoding: chunked\r\n\r\n'
 MAX_BODY_BYTES = 4096
+MAX_REQUESTS = 2
 
 
 @pytest.fixture(scope='module')
@@ -22,7 +25,7 @@
         started.entry_settings = {
             'max_body_bytes': MAX_BODY_BYTES,
             'max_header_bytes': 2048,
-            'max_requests': 2,
+            'max_requests': MAX_REQUESTS,
             'socket_timeout_s': 1,
         }
         started.add_daemon('entry-1', 'zg-trnje')
@@ -65,6 +68,7 @@
 
 
 GOOD = b'{"model":"pult-model","messages":[]}'
+STREAMED = b'{"model":"pult-model","messages":[],"stream":true}'
 CASES = {
     'bad JSON': (chat(b'{"model":'), 400, 'bad_request'),
     'no model': (chat(b'{"messages":[]}'), 400, 'bad_request'),
@@ -156,6 +160,13 @@
     assert b'X-Verdict: not_run' in head
 
 
+def _read_event(caller: socket.socket) -> bytes:
+    received = b''
+    while b'\n\n' not in received:
+        received += caller.recv(65_536)
+    return received
+
+
 class TestBorder:
     """Every refusal has a status, a code and the verdict `not_run`."""
 
@@ -179,15 +190,14 @@
         assert received.count(b'HTTP/1.1 400 Bad Request') == 1
 
     def test_full_daemon_refuses_at_once(self, world: World) -> None:
-        held = [connect(world) for _ in range(2)]
-        for slow in held:
-            slow.sendall(chat(GOOD, length=99))
-        received = b''
-        for _ in range(50):
+        script = (STREAM_HEAD + chunk(event(1)), b'silent')
+        with contextlib.ExitStack() as held:
+            upstream = held.enter_context(scripted(script, script))
+            serve_by(world, upstream)
+            for _ in range(MAX_REQUESTS):
+                running = held.enter_context(connect(world))
+                running.sendall(chat(STREAMED))
+                assert event(1) in _read_event(running)
             received = exchange(world, chat(GOOD))
-            if b'overloaded' in received:
-                break
-        for done in held:
-            done.close()
         check_refusal(received, 503, 'overloaded')
         assert b'Retry-After: 1\r\n' in received
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -5,9 +5,15 @@
 import threading
 from collections.abc import Iterator
 
+from marigoldhoist.components.hosts.models import HostEntry, HostRole
+from marigoldhoist.components.upstreams.const import COMPONENT as UPSTREAMS
+from marigoldhoist.components.upstreams.service import UpstreamService
 from tools.world.addresses import next_address
+from tools.world.world import World, wait_until
 
 PORT = 7450
+SMALL = 'pult-model/small'
+LARGE = 'pult-model/large'
 STREAM_HEAD = (
     b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
     b'Transfer-Encoding: chunked\r\n\r\n'
@@ -43,7 +49,9 @@
         with contextlib.suppress(OSError):
             for connection, _ in iter(self._listener.accept, None):
                 self.connections += 1
-                self._serve(connection)
+                threading.Thread(
+                    target=self._serve, args=(connection,), daemon=True
+                ).start()
 
     def close(self) -> None:
         """Stop serving."""
@@ -89,3 +97,29 @@
         yield upstream
     finally:
         upstream.close()
+
+
+def serve_by(world: World, upstream: ScriptedUpstream) -> None:
+    """Make the scripted upstream the only engine."""
+    kernel = world.kernels_by_host['entry-1']
+    found = kernel.find(UPSTREAMS, UpstreamService)
+    for known in found.replicas_serving(SMALL):
+        world.unlist_host(known.host)
+    name = f'engine-{upstream.address}'
+    world.list_host(
+        HostEntry(
+            name,
+            HostRole.ENGINE,
+            upstream.address,
+            PORT,
+            'zg-trnje',
+            serves=(SMALL, LARGE),
+        )
+    )
+    wait_until(
+        lambda: (
+            [replica.host for replica in found.replicas_serving(SMALL)]
+            == [name]
+        ),
+        'the scripted upstream',
+    )
