--- a/tests/components/freshness/test_freshness.py
+++ b/tests/components/freshness/test_freshness.py
@@ -1,7 +1,6 @@
 """Pauses are noticed, whichever thread runs first afterwards."""
 
 import pathlib
-import sys
 import time
 from collections.abc import Iterator
 
@@ -9,12 +8,10 @@
 import urllib3
 
 from marigoldhoist.components.freshness.pauses import PauseDetector
-from marigoldhoist.components.hosts.models import HostEntry, HostRole
-from tools.world.addresses import next_address
 from tools.world.caller import Caller
-from tools.world.processes import Processes
-from tools.world.samples import WORKSPACE_KEY, change_of, settings_text
-from tools.world.world import PEER_PORT, World, wait_until
+from tools.world.daemons import DaemonProcesses
+from tools.world.samples import change_of
+from tools.world.world import World, wait_until
 
 HOST = 'entry-1'
 DOMAIN = 'zg-trnje'
@@ -65,11 +62,6 @@
 class TestFrozenDaemon:
     """A daemon that stood still gives no work to a withdrawn version."""
 
-    @pytest.fixture
-    def caller(self, world: World, daemon: Processes) -> Iterator[Caller]:
-        """Return a caller of the daemon's process."""
-        yield Caller(world.address_of(HOST), WORKSPACE_KEY)
-
     @pytest.fixture
     def world(self) -> Iterator[World]:
         """Start the stand-ins with one engine."""
@@ -78,29 +70,20 @@
             yield started
 
     @pytest.fixture
-    def daemon(
+    def daemons(
         self, world: World, tmp_path: pathlib.Path
-    ) -> Iterator[Processes]:
+    ) -> Iterator[DaemonProcesses]:
         """Start a daemon as a process of its own."""
-        address = next_address()
-        platform = world.platform
-        settings = tmp_path / 'settings.json'
-        settings.write_text(
-            settings_text(HOST, DOMAIN, address, platform, platform)
-        )
-        world.list_host(
-            HostEntry(HOST, HostRole.DAEMON, address, PEER_PORT, DOMAIN)
-        )
-        with Processes(tmp_path) as processes:
-            command = ('-m', 'marigoldhoist', 'serve', str(settings))
-            processes.start(HOST, sys.executable, *command)
-            yield processes
+        with DaemonProcesses(world, tmp_path) as started:
+            started.start(HOST, DOMAIN)
+            yield started
 
     def test_withdrawal_while_frozen(
-        self, world: World, daemon: Processes, caller: Caller
+        self, world: World, daemons: DaemonProcesses
     ) -> None:
+        caller = daemons.caller(HOST)
         wait_until(lambda: _is_answered(caller), 'an answer')
-        daemon.freeze(HOST)
+        daemons.processes.freeze(HOST)
         # The read under way ends without the change, and the next one is slow.
         time.sleep(FROZEN_S)
         world.log.faults.delay_s = SLOW_LOG_S
@@ -109,7 +92,7 @@
             change_of({f'version/{SMALL}': row}, base_revision=0)
         )
         before = len(world.engines_by_host['engine-1'].served)
-        daemon.thaw(HOST)
+        daemons.processes.thaw(HOST)
         for _ in range(20):
             caller.chat()
         wait_until(lambda: _is_answered(caller), 'an answer after the pause')
--- a/tools/world/processes.py
+++ b/tools/world/processes.py
@@ -24,6 +24,12 @@
 
     def __exit__(self, *_exception: object) -> None:
         """Stop every process that is left."""
+        self.stop_all()
+
+    def stop_all(self) -> None:
+        """Stop every process that is left, also a frozen one."""
+        for frozen in tuple(self._process_by_name):
+            self.thaw(frozen)
         for name in tuple(self._process_by_name):
             self._process_by_name[name].terminate()
         for name in tuple(self._process_by_name):
