--- a/marigoldhoist/components/dispatch/metering.py
+++ b/marigoldhoist/components/dispatch/metering.py
@@ -23,6 +23,11 @@
         self.is_whole = False
         self._body = bytearray()
 
+    @property
+    def recorded(self) -> bytes:
+        """Return the body as far as it came."""
+        return bytes(self._body)
+
     def feed(self, chunk: bytes) -> None:
         """Take the next bytes."""
         self._body += chunk
--- a/marigoldhoist/components/dispatch/relaying.py
+++ b/marigoldhoist/components/dispatch/relaying.py
@@ -1,5 +1,6 @@
 """Pass an answer on to its caller, metered, and bill it at its end."""
 
+import dataclasses
 import time
 from collections.abc import Iterator
 
@@ -27,6 +28,14 @@
 from marigoldhoist.core.verdict import Verdict
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Recorded:
+    """An answer's body as far as it may be wanted again."""
+
+    content_type: str
+    body: bytes
+
+
 class Relaying:
     """Relays answers; each is reported, billed and settled once."""
 
@@ -64,7 +73,7 @@
                 first_token_s=end.first_token_s,
                 duration_s=time.monotonic() - started_s,
             )
-            self._finish(passage, version, attempt)
+            self._finish(passage, version, attempt, _recorded(answer, end))
 
         if answer.is_event_stream:
             return StreamBody(
@@ -72,7 +81,13 @@
             )
         return _whole_body(answer, finish)
 
-    def _finish(self, passage: Passage, version: str, attempt: Attempt) -> None:
+    def _finish(
+        self,
+        passage: Passage,
+        version: str,
+        attempt: Attempt,
+        recorded: Recorded,
+    ) -> None:
         request = passage.request
         row = self._table.state.version(request.target, version)
         price = row.cost_per_1k_tokens if row else 0
@@ -97,10 +112,16 @@
                 tokens=attempt.tokens,
                 cost=cost,
                 is_whole=attempt.is_whole,
+                content_type=recorded.content_type,
+                body=recorded.body,
             )
         )
 
 
+def _recorded(answer: UpstreamAnswer, end: StreamEnd) -> Recorded:
+    return Recorded(answer.content_type, end.body)
+
+
 def _whole_body(answer: UpstreamAnswer, on_end: OnEnd) -> Iterator[bytes]:
     meter = BodyMeter()
     failure: Exception | None = None
@@ -113,6 +134,6 @@
         failure = error
     finally:
         answer.close()
-        on_end(StreamEnd(meter.tokens, meter.is_whole, 0))
+        on_end(StreamEnd(meter.tokens, meter.is_whole, 0, meter.recorded))
     if failure is not None:
         raise AnswerCutError(str(failure)) from failure
--- a/marigoldhoist/components/platform_log/service.py
+++ b/marigoldhoist/components/platform_log/service.py
@@ -68,6 +68,17 @@
             )
             self._kernel.spawn(f'follow-{stream}', work)
 
+    def read_to_the_head(self, stream: str) -> bool:
+        """Read a stream until nothing is left; False where it cannot be."""
+        follower = self.followers_by_stream[stream]
+        feed = self.feeds_by_stream[stream]
+        position = -1
+        while position < feed.next_offset:
+            position = feed.next_offset
+            if not follower.read_once(0):
+                return False
+        return True
+
     def status(self) -> LogStatus:
         """Return what operators see of the streams followed."""
         return LogStatus(
--- a/tests/core/test_settings.py
+++ b/tests/core/test_settings.py
@@ -7,7 +7,11 @@
 from marigoldhoist.core.errors import SettingsError
 from marigoldhoist.core.identity import DaemonSettings
 from marigoldhoist.core.kernel import load_components
-from marigoldhoist.core.settings import load_settings, parse_settings
+from marigoldhoist.core.settings import (
+    load_settings,
+    parse_settings,
+    sections_by_name,
+)
 
 GOOD = """{
   // One daemon of the workshop.
@@ -33,7 +37,6 @@
         [
             ('[]', 'one JSON object'),
             ('{', 'not JSON with comments'),
-            ('{nonsense: {}}', "unknown section 'nonsense'; allowed: daemon"),
             (
                 GOOD.replace("'127.0.0.1'", "'example.org'"),
                 "daemon.address = 'example.org'",
@@ -50,6 +53,13 @@
             parse_settings(text)
         assert named in str(raised.value)
 
+    def test_unknown_section_names_all_known(self) -> None:
+        with pytest.raises(SettingsError) as raised:
+            parse_settings('{nonsense: {}}')
+        allowed = ', '.join(sorted(sections_by_name))
+        expected = f"unknown section 'nonsense'; allowed: {allowed}"
+        assert str(raised.value) == expected
+
     def test_missing_file(self, tmp_path: pathlib.Path) -> None:
         with pytest.raises(SettingsError, match='cannot read'):
             load_settings(tmp_path / 'none.json')
--- a/tools/demo/processes.py
+++ b/tools/world/processes.py
@@ -1,13 +1,15 @@
-"""Start, kill and stop the demo's processes."""
+"""Start, freeze, kill and stop processes."""
 
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 
-from tools.demo.const import STOP_TIMEOUT_S
 from tools.world.samples import PEER_KEY
 
+STOP_TIMEOUT_S = 8.0
+
 
 class Processes:
     """Child processes by name; use it in a with block."""
@@ -22,6 +24,12 @@
 
     def __exit__(self, *_exception: object) -> None:
         """Stop every process that is left."""
+        self.stop_all()
+
+    def stop_all(self) -> None:
+        """Stop every process that is left, also a frozen one."""
+        for frozen in tuple(self._process_by_name):
+            self.thaw(frozen)
         for name in tuple(self._process_by_name):
             self._process_by_name[name].terminate()
         for name in tuple(self._process_by_name):
@@ -55,6 +63,14 @@
         process.kill()
         process.wait()
 
+    def freeze(self, name: str) -> None:
+        """Pause a process, unaware."""
+        self._process_by_name[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a paused process go on."""
+        self._process_by_name[name].send_signal(signal.SIGCONT)
+
     def ask_to_stop(self, name: str) -> None:
         """Begin a planned stop."""
         self._process_by_name[name].terminate()
