Add the policy bench and the decisions that it replays

Cause: neither cost at the quality target nor exposure to bad versions could be measured, and versions were chosen by weight alone.

Change: quality is learnt from doubts and few noisy ratings together by expectation maximisation; a planner finds the price on quality at which a workspace's tasks reach their target; a judge with cumulative sums finds bad versions from evidence of all daemons.

--- /dev/null
+++ b/marigoldhoist/components/health/__init__.py
@@ -0,0 +1,1 @@
+"""Find versions that turned bad, and hold them."""
--- /dev/null
+++ b/marigoldhoist/components/health/alternatives.py
@@ -0,0 +1,126 @@
+"""Ways in which a version turns bad, as likelihood ratios of categories."""
+
+import dataclasses
+import enum
+import math
+
+from marigoldhoist.components.health.const import (
+    BASELINE_ANSWERS,
+    BASELINE_FAILED,
+    BASELINE_SLOW,
+    CAUTION,
+    KNOWN_ANSWERS,
+    UNKNOWN_QUALITY,
+)
+from marigoldhoist.components.quality.book import Arm
+from marigoldhoist.components.quality.cells import ZERO_COUNTS, Counts
+from marigoldhoist.components.quality.const import (
+    BINS,
+    FAILED,
+    FLIP_CHANCE,
+    RATED_BAD,
+    RATED_GOOD,
+    SLOW,
+)
+from marigoldhoist.components.quality.law import DoubtLaw
+
+
+class Fault(enum.Enum):
+    """What goes wrong with an answer."""
+
+    WRONG = 'wrong'
+    FAILING = 'failing'
+    SLOW = 'slow'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Alternative:
+    """A share of a version's answers that turned bad in one way."""
+
+    fault: Fault
+    share: float
+
+
+ALTERNATIVES = tuple(
+    Alternative(fault, share)
+    for fault, shares in (
+        (Fault.WRONG, (0.2, 0.5, 1 - 1e-6)),
+        (Fault.FAILING, (0.1, 0.5, 1 - 1e-6)),
+        (Fault.SLOW, (0.5, 1 - 1e-6)),
+    )
+    for share in shares
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Baseline:
+    """How a version's answers were while it was well."""
+
+    chances: tuple[float, ...]
+    quality: float
+    failed: float
+    slow: float
+    law: DoubtLaw
+
+
+def baseline(arm: Arm, law: DoubtLaw) -> Baseline:
+    """Return an arm's baseline, a cautious one while its answers are few."""
+    counts = arm.counts
+    answers = sum(counts[:BINS])
+    quality = arm.quality - CAUTION * arm.deviation
+    if answers < KNOWN_ANSWERS:
+        counts = list(ZERO_COUNTS)
+        answers = 0
+        quality = min(quality, UNKNOWN_QUALITY)
+    weight = answers + BASELINE_ANSWERS
+    chances = tuple(
+        (count + BASELINE_ANSWERS * chance) / weight
+        for count, chance in zip(counts, law.chances(quality), strict=False)
+    )
+    return Baseline(
+        chances=chances,
+        quality=quality,
+        failed=max(BASELINE_FAILED, counts[FAILED] / weight),
+        slow=max(BASELINE_SLOW, counts[SLOW] / weight),
+        law=law,
+    )
+
+
+def log_ratios(healthy: Baseline, alternative: Alternative) -> list[float]:
+    """Return the log likelihood ratio that each category adds."""
+    match alternative.fault:
+        case Fault.WRONG:
+            return _wrong_ratios(healthy, alternative.share)
+        case Fault.FAILING:
+            return _event_ratios(healthy.failed, FAILED, alternative.share)
+        case Fault.SLOW:
+            ratios = _event_ratios(healthy.slow, SLOW, alternative.share)
+            # A slow answer stands in a doubt category as well.
+            ratios[SLOW] -= math.log(1 - alternative.share)
+            return ratios
+
+
+def _event_ratios(usual: float, category: int, share: float) -> list[float]:
+    ratios: Counts = list(ZERO_COUNTS)
+    for doubt in range(BINS):
+        ratios[doubt] = math.log(1 - share)
+    ratios[category] = math.log((1 - share) + share / usual)
+    return ratios
+
+
+def _wrong_ratios(healthy: Baseline, share: float) -> list[float]:
+    ratios: Counts = list(ZERO_COUNTS)
+    for doubt in range(BINS):
+        usual = healthy.chances[doubt]
+        turned = (1 - share) * usual + share * healthy.law.bad[doubt]
+        ratios[doubt] = math.log(turned / usual)
+        good = healthy.law.good_given(healthy.quality, doubt)
+        still_good = good * (1 - share) * usual / turned
+        before, after = _blamed(good), _blamed(still_good)
+        ratios[RATED_BAD + doubt] = math.log(after / before)
+        ratios[RATED_GOOD + doubt] = math.log((1 - after) / (1 - before))
+    return ratios
+
+
+def _blamed(good: float) -> float:
+    return FLIP_CHANCE + (1 - 2 * FLIP_CHANCE) * (1 - good)
--- /dev/null
+++ b/marigoldhoist/components/quality/__init__.py
@@ -0,0 +1,1 @@
+"""Learn the quality of versions."""
--- /dev/null
+++ b/tools/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches, run by script/bench."""
--- /dev/null
+++ b/tools/bench/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded replay of request streams against fakes of upstreams."""
