--- a/marigoldhoist/components/routing/const.py
+++ b/marigoldhoist/components/routing/const.py
@@ -4,6 +4,8 @@
 
 COMPONENT: Final = 'routing'
 
+HASH_RANGE: Final = 1 << 64
+
 
 SLOW_START_S: Final = 30.0
 MIN_WARM_SHARE: Final = 0.1
