Keep what both histories accepted when a log has lost its tail

Cause: a daemon that lagged at the loss folds the other history without a sign of it; when the state was put back, what it had accepted was gone. Change: whoever puts the state back appends after it the records that only the other history has, under their ids. Conclusion: only of two clashing changes to one row must one give way.

--- a/marigoldhoist/components/leases/service.py
+++ b/marigoldhoist/components/leases/service.py
@@ -76,7 +76,6 @@
         pause_s = handle.ttl_s / RENEWALS_PER_TTL
         # Hosts that start together do not claim together.
         self._kernel.stopping.wait(random.uniform(0, pause_s))
-        while not (
-            handle.given_up.wait(pause_s) or self._kernel.stopping.is_set()
-        ):
+        while not (handle.given_up.is_set() or self._kernel.stopping.is_set()):
             handle.step()
+            handle.given_up.wait(pause_s)
--- a/marigoldhoist/components/platform_log/feed.py
+++ b/marigoldhoist/components/platform_log/feed.py
@@ -87,6 +87,11 @@
             return ()
         return tuple(entry for entry in chosen if entry.offset >= offset)
 
+    def recent(self) -> tuple[LogEntry, ...]:
+        """Return the entries that are kept, the oldest first."""
+        with self._advanced:
+            return tuple(self._ring)
+
     def is_too_old(self, offset: int) -> bool:
         """Tell whether the entry at offset was folded but is not kept."""
         with self._advanced:
--- a/marigoldhoist/components/platform_log/follower.py
+++ b/marigoldhoist/components/platform_log/follower.py
@@ -23,7 +23,7 @@
 )
 from marigoldhoist.components.platform_log.feed import Feed
 from marigoldhoist.components.platform_log.models import LogEntry, ReadReply
-from marigoldhoist.core.clock import SYSTEM_CLOCK
+from marigoldhoist.core.clock import SYSTEM_CLOCK, Clock
 from marigoldhoist.core.events import emit
 
 
@@ -53,11 +53,14 @@
 class Follower:
     """Reads one stream by long polls."""
 
-    def __init__(self, client: LogReader, feed: Feed) -> None:
+    def __init__(
+        self, client: LogReader, feed: Feed, clock: Clock = SYSTEM_CLOCK
+    ) -> None:
         self.recovery: Recovery | None = None
         self.last_read_s: float = 0
         self._client = client
         self._feed = feed
+        self._clock = clock
         self._reachable = True
         self._has_gap = False
         self._verified_s = -math.inf
@@ -103,7 +106,7 @@
         self._note_gap(has_gap, reply)
         if has_gap:
             return False
-        self.last_read_s = SYSTEM_CLOCK.monotonic_s()
+        self.last_read_s = self._clock.monotonic_s()
         self._feed.offer(reply.entries)
         return True
 
@@ -129,7 +132,7 @@
 
     def _is_verified(self, reply: ReadReply, position: int) -> bool:
         """Compare the last entry folded, before any is folded after it."""
-        now_s = SYSTEM_CLOCK.monotonic_s()
+        now_s = self._clock.monotonic_s()
         is_recent = now_s - self._verified_s < VERIFY_INTERVAL_S
         if not position or (is_recent and not reply.entries):
             return True
--- a/marigoldhoist/components/snapshots/recovery.py
+++ b/marigoldhoist/components/snapshots/recovery.py
@@ -1,6 +1,7 @@
 """Bring one stream's state on by a snapshot on the log."""
 
 import dataclasses
+from collections.abc import Iterator
 
 from marigoldhoist.components.platform_log.const import READ_LIMIT_RECORDS
 from marigoldhoist.components.platform_log.feed import Feed
@@ -9,11 +10,15 @@
     FeedDump,
     LogEntry,
     ReadReply,
+    Record,
 )
 from marigoldhoist.components.snapshots.chunks import Collector, Snapshot
+from marigoldhoist.components.snapshots.const import CHUNK_KIND, FILLER_KIND
 from marigoldhoist.components.snapshots.events import SNAPSHOT_RESTORED
 from marigoldhoist.core.events import emit
 
+OWN_KINDS = frozenset((CHUNK_KIND, FILLER_KIND))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SeenSnapshot:
@@ -60,6 +65,26 @@
         emit(SNAPSHOT_RESTORED, stream=self._feed.stream, offset=found.offset)
         return True
 
+    def other_records(self) -> tuple[Record, ...]:
+        """Return the records that only the other history on the log has."""
+        recent = self._feed.recent()
+        own_ids = {entry.record.id for entry in recent}
+        start = recent[0].offset if recent else self._feed.next_offset
+        return tuple(
+            entry.record
+            for entry in self._entries_from(start)
+            if entry.record.id not in own_ids
+            and entry.record.kind not in OWN_KINDS
+        )
+
+    def _entries_from(self, start: int) -> Iterator[LogEntry]:
+        while True:
+            reply = self._reader.read(self._feed.stream, start)
+            yield from reply.entries
+            if not reply.entries:
+                return
+            start = reply.entries[-1].offset + 1
+
     def _newest(self, first_offset: int, next_offset: int) -> FeedDump | None:
         """Search backwards, so that little of a long log is read."""
         collector = Collector()
--- a/marigoldhoist/components/snapshots/writer.py
+++ b/marigoldhoist/components/snapshots/writer.py
@@ -4,8 +4,16 @@
 
 from result import Ok
 
+from marigoldhoist.components.platform_log.errors import (
+    LogRefusedError,
+    LogUnavailableError,
+)
 from marigoldhoist.components.platform_log.feed import Feed
-from marigoldhoist.components.platform_log.models import Record, new_record
+from marigoldhoist.components.platform_log.models import (
+    FeedDump,
+    Record,
+    new_record,
+)
 from marigoldhoist.components.platform_log.service import LogAccess
 from marigoldhoist.components.snapshots.chunks import cut
 from marigoldhoist.components.snapshots.const import (
@@ -76,10 +84,22 @@
             if end is None:
                 return False
             if end >= dump.offset:
-                records = cut(dump, is_to_adopt=True)
-                return self._append_past_divergence(records) is not None
+                return self._put_back(dump)
         return False
 
+    def _put_back(self, dump: FeedDump) -> bool:
+        """Append the state, then what only the other history has.
+
+        Every daemon folds those records after the state; where they clash
+        with it, they are rejected as any late change is.
+        """
+        try:
+            others = self._recovery.other_records()
+        except (LogUnavailableError, LogRefusedError):
+            return False
+        records = (*cut(dump, is_to_adopt=True), *others)
+        return self._append_past_divergence(records) is not None
+
     def _is_time_to_rejoin(self) -> bool:
         if not self._feed.is_diverged:
             self._rejoin_s = None
--- /dev/null
+++ b/tests/components/snapshots/test_whole.py
@@ -0,0 +1,89 @@
+"""Daemons that are all replaced after their records have expired."""
+
+from marigoldhoist.components.leases.const import COMPONENT as LEASES
+from marigoldhoist.components.leases.service import LeaseService
+from marigoldhoist.components.platform_log.const import COMPONENT as LOG
+from marigoldhoist.components.platform_log.const import TABLE_STREAM
+from marigoldhoist.components.platform_log.service import LogService
+from marigoldhoist.components.snapshots.const import CHUNK_KIND
+from marigoldhoist.components.table.const import COMPONENT as TABLE
+from marigoldhoist.components.table.service import TableService
+from tools.world.samples import change_of
+from tools.world.world import World, wait_until
+
+OLD = ('entry-1', 'entry-2')
+
+
+def table_of(world: World, host: str) -> TableService:
+    """Return a daemon's table service."""
+    return world.kernels_by_host[host].find(TABLE, TableService)
+
+
+def snapshot_offsets(world: World) -> list[int]:
+    """Return the offsets of the snapshot records on the table stream."""
+    return [
+        entry.offset
+        for entry in world.log.store.entries(TABLE_STREAM)
+        if entry.record.kind == CHUNK_KIND
+    ]
+
+
+class TestReplacement:
+    """What was accepted outlives every host and every record."""
+
+    def test_all_hosts_replaced_after_expiry(self) -> None:
+        with World() as world:
+            for host in OLD:
+                world.add_daemon(host, 'zg-trnje')
+            withdrawn = world.change_table(
+                change_of(
+                    {'version/pult-model/small': {'state': 'withdrawn'}},
+                    base_revision=0,
+                )
+            )
+            wait_until(
+                lambda: any(
+                    offset > withdrawn for offset in snapshot_offsets(world)
+                ),
+                'a snapshot that holds the withdrawal',
+            )
+            before = table_of(world, OLD[0]).fold.dump()
+            for stopped in OLD:
+                world.stop_daemon(stopped)
+            oldest = snapshot_offsets(world)[0]
+            world.log.store.expire_before(TABLE_STREAM, oldest - 1)
+            world.add_daemon('entry-3', 'zg-trnje')
+            wait_until(
+                lambda: not table_of(world, 'entry-3').state.is_empty,
+                'the table at the new host',
+            )
+            assert table_of(world, 'entry-3').fold.dump() == before
+            assert table_of(world, 'entry-3').state.is_withdrawn(
+                'pult-model', 'small'
+            )
+
+    def test_leases_are_handed_on_by_a_planned_stop(self) -> None:
+        with World() as world:
+            for host in OLD:
+                world.add_daemon(host, 'zg-trnje')
+            wait_until(lambda: bool(holders(world)), 'a holder')
+            first = holders(world)[0]
+            world.stop_daemon(first)
+            wait_until(lambda: bool(holders(world)), 'a successor')
+            assert holders(world) != [first]
+            log = world.kernels_by_host[holders(world)[0]]
+            assert (
+                not log.find(LOG, LogService)
+                .status()
+                .stream_by_name[TABLE_STREAM]
+                .is_diverged
+            )
+
+
+def holders(world: World) -> list[str]:
+    """Return the hosts that hold the lease of the snapshots."""
+    return [
+        host
+        for host, kernel in world.kernels_by_host.items()
+        if kernel.find(LEASES, LeaseService).status().held
+    ]
