--- a/marigoldhoist/components/dispatch/stages.py
+++ b/marigoldhoist/components/dispatch/stages.py
@@ -37,6 +37,8 @@
     cost: float = 0
     is_whole: bool = False
     failure: RequestFailure | None = None
+    content_type: str = ''
+    body: bytes = b''
 
 
 class Stage:
@@ -45,6 +47,9 @@
     def admit(self, request: CallerRequest) -> Admission:
         """Refuse or answer the request, or return none to let it pass."""
 
+    def recheck(self, request: CallerRequest) -> RequestFailure | None:
+        """Refuse the next try, which is about to be sent."""
+
     def attempted(self, request: CallerRequest, attempt: Attempt) -> None:
         """Learn of one try."""
 
@@ -84,6 +89,14 @@
         self.entered: list[Stage] = []
         self._is_settled = False
 
+    def recheck(self) -> RequestFailure | None:
+        """Return the first refusal of the next try, if any."""
+        for stage in self.entered:
+            refusal = stage.recheck(self.request)
+            if refusal is not None:
+                return refusal
+        return None
+
     def report(self, attempt: Attempt) -> None:
         """Tell the stages of one try."""
         for stage in self.entered:
--- a/marigoldhoist/core/errors.py
+++ b/marigoldhoist/core/errors.py
@@ -28,6 +28,7 @@
     UNKNOWN_MODEL = 'unknown_model'
     UNKNOWN_SERVICE = 'unknown_service'
     NO_TABLE = 'no_table'
+    STALE_TABLE = 'stale_table'
     NO_VERSION = 'no_version'
     NO_REPLICA = 'no_replica'
     OVER_LIMIT = 'over_limit'
@@ -39,6 +40,7 @@
     ORDER_TOO_OLD = 'order_too_old'
     UPSTREAM_FAILED = 'upstream_failed'
     UPSTREAM_CUT = 'upstream_cut'
+    INTERNAL = 'internal'
 
 
 HTTP_STATUS_BY_CODE = {
@@ -54,6 +56,7 @@
     ErrorCode.UPSTREAM_FAILED: 502,
     ErrorCode.UPSTREAM_CUT: 502,
     ErrorCode.DEADLINE_EXCEEDED: 504,
+    ErrorCode.INTERNAL: 500,
 }
 
 DEFAULT_HTTP_STATUS = 503
--- a/tools/bench/__init__.py
+++ b/tools/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benches, run by script/bench."""
+"""Benches; each prints figures as ratios within one run."""
