Run cascades in the daemon and hold versions that turn bad

Change: dispatch holds a stage's answer until its doubt is known, escalates while the time allows and bills only the answer delivered. Counts of doubts, failures and ratings go to the peers as cumulative summaries. The health component judges every version from all daemons' counts, holds a bad one locally and at the peers at once, and writes the hold to the table as author `health`. Tries that this daemon or the caller ended are marked abandoned, so they don't count against a version.

Conclusion: ratings are not fetched by the daemon yet, and no roll-out is driven yet.

--- a/marigoldhoist/components/dispatch/bodies.py
+++ b/marigoldhoist/components/dispatch/bodies.py
@@ -30,13 +30,15 @@
 class StreamEnd(msgspec.Struct, frozen=True):
     """How an answer ended; the first token's time counts from its head.
 
-    The body of an unstreamed answer is kept, as it may be wanted again.
+    The body of an unstreamed answer is kept, as it may be wanted again. An
+    abandoned answer was not read on because its caller had gone.
     """
 
     tokens: int
     is_whole: bool
     first_token_s: float
     body: bytes = b''
+    is_abandoned: bool = False
 
 
 OnEnd = Callable[[StreamEnd], None]
@@ -74,7 +76,9 @@
         if not self._is_begun:
             self._is_begun = True
             self._answer.close()
-            self._on_end(StreamEnd(0, is_whole=False, first_token_s=0))
+            self._on_end(
+                StreamEnd(0, is_whole=False, first_token_s=0, is_abandoned=True)
+            )
 
     def relay(self, caller: socket.socket) -> bool:
         """Send the body as chunks; False where the caller's is not whole."""
@@ -96,7 +100,12 @@
         finally:
             is_whole = stream.ended.is_set() and stream.failure is None
             self._on_end(
-                StreamEnd(stream.tokens, is_whole, stream.first_token_s)
+                StreamEnd(
+                    stream.tokens,
+                    is_whole,
+                    stream.first_token_s,
+                    is_abandoned=isinstance(stream.failure, CallerGoneError),
+                )
             )
 
     def _relay_iterated(self, caller: socket.socket) -> bool:
@@ -125,6 +134,7 @@
         tokens = 0
         started_s = time.monotonic()
         first_token_s: float = 0
+        is_abandoned = True
         try:
             for chunk in self._answer.chunks():
                 events = meter.take(chunk)
@@ -134,11 +144,20 @@
                     )
                     yield events
                 tokens = meter.tokens
+            is_abandoned = False
         except (urllib3.exceptions.HTTPError, StreamError):
             meter.end_mark = b''
+            is_abandoned = False
         finally:
             self._answer.close()
-            self._on_end(StreamEnd(tokens, meter.is_ended, first_token_s))
+            self._on_end(
+                StreamEnd(
+                    tokens,
+                    meter.is_ended,
+                    first_token_s,
+                    is_abandoned=is_abandoned,
+                )
+            )
         yield END_MARK if meter.is_ended else error_event()
         if not meter.is_ended:
             raise AnswerCutError('stream ended early')
--- a/marigoldhoist/components/dispatch/const.py
+++ b/marigoldhoist/components/dispatch/const.py
@@ -15,3 +15,4 @@
 JSON_TYPE: Final = 'application/json'
 LAST_CHUNK_TIMEOUT_S: Final = 0.2
 END_MARK: Final = b'data: [DONE]\n\n'
+EVENT_DATA: Final = b'data: '
--- a/marigoldhoist/components/dispatch/relaying.py
+++ b/marigoldhoist/components/dispatch/relaying.py
@@ -70,6 +70,7 @@
                 status=answer.status,
                 tokens=end.tokens,
                 is_whole=end.is_whole,
+                is_abandoned=end.is_abandoned,
                 first_token_s=end.first_token_s,
                 duration_s=time.monotonic() - started_s,
             )
@@ -134,6 +135,11 @@
         failure = error
     finally:
         answer.close()
-        on_end(StreamEnd(meter.tokens, meter.is_whole, 0, meter.recorded))
+        is_abandoned = failure is None and not meter.is_whole
+        on_end(
+            StreamEnd(
+                meter.tokens, meter.is_whole, 0, meter.recorded, is_abandoned
+            )
+        )
     if failure is not None:
         raise AnswerCutError(str(failure)) from failure
--- a/marigoldhoist/components/dispatch/service.py
+++ b/marigoldhoist/components/dispatch/service.py
@@ -6,6 +6,7 @@
 from marigoldhoist.components.billing.service import BillingService
 from marigoldhoist.components.dispatch.attempts import Attempts
 from marigoldhoist.components.dispatch.calls import serving_name
+from marigoldhoist.components.dispatch.cascade import Cascade
 from marigoldhoist.components.dispatch.const import JSON_TYPE
 from marigoldhoist.components.dispatch.relaying import Relaying
 from marigoldhoist.components.dispatch.stages import (
@@ -20,6 +21,7 @@
 from marigoldhoist.components.streams.service import StreamService
 from marigoldhoist.components.table.const import COMPONENT as TABLE
 from marigoldhoist.components.table.service import TableService
+from marigoldhoist.components.upstreams.answer import UpstreamAnswer
 from marigoldhoist.components.upstreams.const import COMPONENT as UPSTREAMS
 from marigoldhoist.components.upstreams.service import UpstreamService
 from marigoldhoist.components.upstreams.settings import UpstreamSettings
@@ -50,6 +52,7 @@
             kernel.find(STREAMS, StreamService),
             kernel.settings.section(UpstreamSettings).no_progress_s,
         )
+        self._cascade = Cascade(kernel, self._attempts)
         self._stages = Stages()
 
     def add_stage(self, order: int, stage: Stage) -> None:
@@ -100,16 +103,27 @@
                 return Ok(answer)
         if not is_chat:
             return self._run(passage, '')
+        if self._cascade.applies(passage.request):
+            return self._cascade.run(passage).map(
+                lambda tried: self._answered(
+                    passage, tried.version, tried.answer
+                )
+            )
         chosen = self._routing.choose_version(passage.request)
         return chosen.and_then(lambda version: self._run(passage, version))
 
     def _run(self, passage: Passage, version: str) -> Answered:
         tried = self._attempts.run(passage, version)
         return tried.map(
-            lambda answer: Answer(
-                status=answer.status,
-                content_type=answer.content_type or JSON_TYPE,
-                serving=serving_name(passage.request, version),
-                body=self._relaying.body(passage, version, answer),
-            )
+            lambda answer: self._answered(passage, version, answer)
+        )
+
+    def _answered(
+        self, passage: Passage, version: str, answer: UpstreamAnswer
+    ) -> Answer:
+        return Answer(
+            status=answer.status,
+            content_type=answer.content_type or JSON_TYPE,
+            serving=serving_name(passage.request, version),
+            body=self._relaying.body(passage, version, answer),
         )
--- a/marigoldhoist/components/dispatch/stages.py
+++ b/marigoldhoist/components/dispatch/stages.py
@@ -13,7 +13,8 @@
 class Attempt:
     """One try at one replica, reported when its answer ended or failed.
 
-    Times are in seconds since the try was sent.
+    Times are in seconds since the try was sent. An abandoned try was ended
+    by this daemon, not by the replica.
     """
 
     serving: str
@@ -22,6 +23,7 @@
     status: int = 0
     tokens: int = 0
     is_whole: bool = False
+    is_abandoned: bool = False
     first_token_s: float = 0
     duration_s: float = 0
 
--- a/marigoldhoist/components/entry/const.py
+++ b/marigoldhoist/components/entry/const.py
@@ -10,6 +10,7 @@
 DRAIN_POLL_S: Final = 0.05
 STOP_TIMEOUT_S: Final = 1
 MAX_REQUEST_ID_CHARS: Final = 128
+MAX_TASK_CHARS: Final = 64
 OVERLOAD_RETRY_AFTER_S: Final = 1.0
 SPARE_THREADS: Final = 16
 EVENT_STREAM_TYPE: Final = 'text/event-stream'
--- a/marigoldhoist/components/entry/reader.py
+++ b/marigoldhoist/components/entry/reader.py
@@ -11,6 +11,7 @@
 from marigoldhoist.components.entry.const import (
     BEARER,
     MAX_REQUEST_ID_CHARS,
+    MAX_TASK_CHARS,
     SERVICE_PREFIX,
 )
 from marigoldhoist.components.entry.models import ChatBody
@@ -87,6 +88,7 @@
                 body=body,
                 deadline_s=_deadline_s(deadline_ms),
                 session=environ.get('HTTP_X_SESSION', ''),
+                task=environ.get('HTTP_X_TASK', '')[:MAX_TASK_CHARS],
                 is_streamed=chat.stream,
             ),
         )
--- a/marigoldhoist/components/health/alternatives.py
+++ b/marigoldhoist/components/health/alternatives.py
@@ -10,6 +10,7 @@
     BASELINE_SLOW,
     CAUTION,
     KNOWN_ANSWERS,
+    UNKNOWN_FAILED,
     UNKNOWN_QUALITY,
 )
 from marigoldhoist.components.quality.book import Arm
@@ -18,6 +19,7 @@
     BINS,
     FAILED,
     FLIP_CHANCE,
+    PLAIN,
     RATED_BAD,
     RATED_GOOD,
     SLOW,
@@ -65,27 +67,33 @@
 
 def baseline(arm: Arm, law: DoubtLaw) -> Baseline:
     """Return an arm's baseline, a cautious one while its answers are few."""
-    counts = arm.counts
-    answers = sum(counts[:BINS])
+    doubts = arm.counts[:BINS]
     quality = arm.quality - CAUTION * arm.deviation
-    if answers < KNOWN_ANSWERS:
-        counts = list(ZERO_COUNTS)
-        answers = 0
+    if sum(doubts) < KNOWN_ANSWERS:
+        doubts = list(ZERO_COUNTS[:BINS])
         quality = min(quality, UNKNOWN_QUALITY)
-    weight = answers + BASELINE_ANSWERS
+    weight = sum(doubts) + BASELINE_ANSWERS
     chances = tuple(
         (count + BASELINE_ANSWERS * chance) / weight
-        for count, chance in zip(counts, law.chances(quality), strict=False)
+        for count, chance in zip(doubts, law.chances(quality), strict=True)
     )
     return Baseline(
         chances=chances,
         quality=quality,
-        failed=max(BASELINE_FAILED, counts[FAILED] / weight),
-        slow=max(BASELINE_SLOW, counts[SLOW] / weight),
+        failed=_usual(arm, FAILED, BASELINE_FAILED),
+        slow=_usual(arm, SLOW, BASELINE_SLOW),
         law=law,
     )
 
 
+def _usual(arm: Arm, category: int, least: float) -> float:
+    """Return the usual share of failed or slow answers."""
+    ended = arm.counts[PLAIN] + arm.counts[FAILED] + BASELINE_ANSWERS
+    if ended < KNOWN_ANSWERS:
+        return UNKNOWN_FAILED
+    return max(least, arm.counts[category] / ended)
+
+
 def log_ratios(healthy: Baseline, alternative: Alternative) -> list[float]:
     """Return the log likelihood ratio that each category adds."""
     match alternative.fault:
@@ -95,15 +103,14 @@
             return _event_ratios(healthy.failed, FAILED, alternative.share)
         case Fault.SLOW:
             ratios = _event_ratios(healthy.slow, SLOW, alternative.share)
-            # A slow answer stands in a doubt category as well.
+            # A slow answer is counted as plain as well.
             ratios[SLOW] -= math.log(1 - alternative.share)
             return ratios
 
 
 def _event_ratios(usual: float, category: int, share: float) -> list[float]:
     ratios: Counts = list(ZERO_COUNTS)
-    for doubt in range(BINS):
-        ratios[doubt] = math.log(1 - share)
+    ratios[PLAIN] = math.log(1 - share)
     ratios[category] = math.log((1 - share) + share / usual)
     return ratios
 
--- a/marigoldhoist/components/health/const.py
+++ b/marigoldhoist/components/health/const.py
@@ -16,3 +16,11 @@
 CAUTION: Final = 1.5
 KNOWN_ANSWERS: Final = 200
 UNKNOWN_QUALITY: Final = 0.5
+UNKNOWN_FAILED: Final = 0.03
+
+STAGE_ORDER: Final = 60
+HOLD_TOPIC: Final = 'health.hold'
+CALIBRATE_EVERY_S: Final = 10.0
+SUBMIT_INTERVAL_S: Final = 2.0
+OTHERS_WAIT_S: Final = 30.0
+AUTHOR: Final = 'health'
--- a/marigoldhoist/components/health/judge.py
+++ b/marigoldhoist/components/health/judge.py
@@ -24,7 +24,7 @@
     S_PER_MONTH,
     SAFETY,
 )
-from marigoldhoist.components.quality.book import ArmKey, QualityBook
+from marigoldhoist.components.quality.book import Arm, ArmKey, QualityBook
 from marigoldhoist.components.quality.cells import Observation
 
 Ratios = list[list[float]]
@@ -113,20 +113,20 @@
             test = self._tests.get(key.version)
             if test is None or not self._is_calm(test, key):
                 continue
-            healthy = baseline(arm, self._book.law)
-            self._ratios_by_arm[key] = [
-                log_ratios(healthy, alternative) for alternative in ALTERNATIVES
-            ]
+            self._ratios_by_arm[key] = self._new_ratios(arm)
 
     def observe(self, observation: Observation) -> None:
         """Take new answers and ratings of an arm."""
         cell = observation.key
         test = self._tests.get(cell.version)
-        ratios = self._ratios_by_arm.get(
-            ArmKey(cell.task, cell.version, cell.after)
-        )
-        if test is not None and ratios is not None:
-            test.add(cell.failure_domain, observation.counts, ratios)
+        if test is None:
+            return
+        key = ArmKey(cell.task, cell.version, cell.after)
+        ratios = self._ratios_by_arm.get(key)
+        if ratios is None:
+            ratios = self._new_ratios(self._book.arm(key))
+            self._ratios_by_arm[key] = ratios
+        test.add(cell.failure_domain, observation.counts, ratios)
 
     def alarms(self, domains_by_version: dict[str, int]) -> list[Alarm]:
         """Return the versions that are proved bad.
@@ -143,6 +143,12 @@
         """Begin the tests of a version anew."""
         self._tests[version] = VersionTest()
 
+    def _new_ratios(self, arm: Arm) -> Ratios:
+        healthy = baseline(arm, self._book.law)
+        return [
+            log_ratios(healthy, alternative) for alternative in ALTERNATIVES
+        ]
+
     def _proved(self, domains_by_version: dict[str, int]) -> Iterator[Alarm]:
         for version, test in self._tests.items():
             domains = domains_by_version.get(version, 1)
--- /dev/null
+++ b/marigoldhoist/components/health/stage.py
@@ -0,0 +1,41 @@
+"""Count failed, cut and empty answers of every version."""
+
+from marigoldhoist.components.dispatch.stages import Attempt, Stage
+from marigoldhoist.components.quality.cells import CellKey
+from marigoldhoist.components.quality.const import FAILED, PLAIN
+from marigoldhoist.components.quality.service import QualityService
+from marigoldhoist.components.upstreams.service import UpstreamService
+from marigoldhoist.core.exchange import CallerRequest
+from marigoldhoist.core.verdict import Verdict
+
+NO_TASK = ''
+
+
+class HealthStage(Stage):
+    """Notes one category for each try that reached its replica."""
+
+    def __init__(
+        self, quality: QualityService, upstreams: UpstreamService
+    ) -> None:
+        self._quality = quality
+        self._upstreams = upstreams
+
+    def attempted(self, request: CallerRequest, attempt: Attempt) -> None:
+        """Count a try; one that did not run says nothing of its version."""
+        model, _, version = attempt.serving.partition('/')
+        if not version or attempt.verdict is Verdict.NOT_RUN:
+            return
+        key = CellKey(
+            model,
+            NO_TASK,
+            version,
+            failure_domain=self._domain(attempt),
+        )
+        is_well = attempt.is_whole or attempt.is_abandoned
+        self._quality.note(key, PLAIN if is_well else FAILED)
+
+    def _domain(self, attempt: Attempt) -> str:
+        for replica in self._upstreams.replicas_serving(attempt.serving):
+            if replica.host == attempt.replica:
+                return replica.failure_domain
+        return ''
--- a/marigoldhoist/components/quality/book.py
+++ b/marigoldhoist/components/quality/book.py
@@ -93,6 +93,15 @@
             self.arms_by_key[key] = found
         return found
 
+    def adopt(self, other: 'QualityBook') -> None:
+        """Take over what another book knows of the versions here."""
+        self._good = other._good
+        self._bad = other._bad
+        self.law = other.law
+        for key, arm in other.arms_by_key.items():
+            if key.version in self._prior_by_version:
+                self.arms_by_key[key] = arm
+
     def fit(self, rounds: int = FIT_ROUNDS) -> None:
         """Fit the laws of doubt and every arm's quality."""
         for _ in range(rounds):
--- a/marigoldhoist/components/quality/const.py
+++ b/marigoldhoist/components/quality/const.py
@@ -9,7 +9,8 @@
 SLOW: Final = BINS + 1
 RATED_GOOD: Final = BINS + 2
 RATED_BAD: Final = RATED_GOOD + BINS
-CATEGORIES: Final = RATED_BAD + BINS
+PLAIN: Final = RATED_BAD + BINS
+CATEGORIES: Final = PLAIN + 1
 
 FLIP_CHANCE: Final = 0.1
 PRIOR_ANSWERS: Final = 6.0
@@ -22,3 +23,9 @@
 FIT_ROUNDS: Final = 4
 LEAST_CHANCE: Final = 1e-6
 CAUTION: Final = 1.5
+
+CELLS_TOPIC: Final = 'quality.cells'
+SHARE_INTERVAL_S: Final = 0.5
+FULL_EVERY: Final = 20
+TASKS_AT_MOST: Final = 32
+OTHER_TASK: Final = 'other'
--- a/marigoldhoist/components/routing/const.py
+++ b/marigoldhoist/components/routing/const.py
@@ -15,3 +15,6 @@
 SUBSET_NEAR_REPLICAS: Final = 12
 SUBSET_FAR_REPLICAS: Final = 4
 DEFAULT_SERVICE_TIME_S: Final = 3.0
+PLAN_INTERVAL_S: Final = 5.0
+# An engine batches twice what it serves at full speed before it queues.
+SLOTS_PER_BATCH: Final = 2
--- a/marigoldhoist/components/routing/service.py
+++ b/marigoldhoist/components/routing/service.py
@@ -5,10 +5,19 @@
 
 from result import Err, Ok, Result
 
-from marigoldhoist.components.routing.const import DEFAULT_SERVICE_TIME_S
+from marigoldhoist.components.quality.const import COMPONENT as QUALITY
+from marigoldhoist.components.quality.service import QualityService
+from marigoldhoist.components.routing.const import (
+    DEFAULT_SERVICE_TIME_S,
+    PLAN_INTERVAL_S,
+    SLOTS_PER_BATCH,
+)
+from marigoldhoist.components.routing.holds import Holds
+from marigoldhoist.components.routing.live import LiveCascades, ModelCascade
 from marigoldhoist.components.routing.loads import LoadContext, replica_views
 from marigoldhoist.components.routing.replicas import (
     PickContext,
+    ReplicaView,
     pick_replica,
 )
 from marigoldhoist.components.routing.subsets import replica_subset
@@ -37,13 +46,24 @@
         self._picking = PickContext(daemon.failure_domain, random.Random())
         self._table = kernel.find(TABLE, TableService)
         self._upstreams = kernel.find(UPSTREAMS, UpstreamService)
+        self._kernel = kernel
+        self.cascades = LiveCascades()
+        self.holds = Holds()
+        kernel.find(QUALITY, QualityService).add_learner(self.cascades.observe)
+
+    def ready(self) -> None:
+        """Begin to plan cascades."""
+        self._kernel.spawn('cascades', self._plan)
 
     def choose_version(
         self, request: CallerRequest
     ) -> Result[str, RequestFailure]:
         """Choose a version; the same session or request gets the same one."""
         model = request.target
-        weights = usable_weights(self._table.state, request.workspace, model)
+        weights = self.holds.without_held(
+            model,
+            usable_weights(self._table.state, request.workspace, model),
+        )
         if not weights:
             return Err(
                 RequestFailure(
@@ -53,6 +73,28 @@
         key = request.session or request.request_id
         return Ok(pick_by_weight(weights, key))
 
+    def cascade(self, request: CallerRequest) -> ModelCascade | None:
+        """Return the cascade for a request; a session stays on one version."""
+        if request.session:
+            return None
+        return self.cascades.of(self._table.state, request.target)
+
+    def wait_s(self, request: CallerRequest, version: str) -> float | None:
+        """Return the expected wait for a version; none if it is not usable."""
+        state = self._table.state
+        model = request.target
+        workspace = state.workspace(request.workspace)
+        cascade = self.cascades.of(state, model)
+        if workspace is None or cascade is None:
+            return None
+        if self.holds.is_held(model, version):
+            return None
+        if not state.takes_work(model, version):
+            return None
+        if not workspace.allows(model, version):
+            return None
+        return self._expected_wait_s(f'{model}/{version}', version, cascade)
+
     def choose_replica(
         self, serving: str, tried: Container[str] = ()
     ) -> Result[Replica, RequestFailure]:
@@ -75,13 +117,36 @@
             )
         return Ok(replica)
 
-    def _pick(self, replicas: list[Replica]) -> Replica | None:
-        context = LoadContext(
-            now_s=SYSTEM_CLOCK.monotonic_s(),
-            service_time_s=DEFAULT_SERVICE_TIME_S,
+    def _expected_wait_s(
+        self, serving: str, version: str, cascade: ModelCascade
+    ) -> float | None:
+        replicas = replica_subset(
+            self._upstreams.replicas_serving(serving),
+            self._host,
+            self._picking.failure_domain,
         )
-        views = replica_views(replicas, context)
+        views = _views(replicas)
+        if not views:
+            return None
+        best = min(views, key=lambda view: view.use)
+        times = cascade.policy.times_by_version[version]
+        return times.wait_s(best.in_flight, best.slots * SLOTS_PER_BATCH)
+
+    def _plan(self) -> None:
+        while not self._kernel.stopping.wait(PLAN_INTERVAL_S):
+            self.cascades.replan(self._table.state)
+
+    def _pick(self, replicas: list[Replica]) -> Replica | None:
+        views = _views(replicas)
         picked = pick_replica(views, self._picking)
         if picked is None:
             return None
         return next(one for one in replicas if one.host == picked.host)
+
+
+def _views(replicas: list[Replica]) -> list[ReplicaView]:
+    context = LoadContext(
+        now_s=SYSTEM_CLOCK.monotonic_s(),
+        service_time_s=DEFAULT_SERVICE_TIME_S,
+    )
+    return replica_views(replicas, context)
--- a/marigoldhoist/core/exchange.py
+++ b/marigoldhoist/core/exchange.py
@@ -20,6 +20,7 @@
     body: bytes
     deadline_s: float
     session: str = ''
+    task: str = ''
     quality_target: float = 0
     is_streamed: bool = False
     is_repeatable: bool = True
--- /dev/null
+++ b/tests/whole/test_cascade.py
@@ -0,0 +1,88 @@
+"""Cascades through a whole daemon."""
+
+from collections.abc import Iterator
+
+import msgspec
+import pytest
+
+from marigoldhoist.components.billing.models import Bill
+from marigoldhoist.components.platform_log.const import BILL_STREAM
+from tools.standins.engine import EngineFaults, EngineServer
+from tools.world.caller import Caller
+from tools.world.samples import SAMPLE_ROWS, WORKSPACE_KEY
+from tools.world.world import World, wait_until
+
+SMALL = 'pult-model/small'
+LARGE = 'pult-model/large'
+ROWS = SAMPLE_ROWS | {
+    'model/pult-model': {
+        'weights_by_version': {'small': 80, 'large': 20},
+        'cascade': ['small', 'large'],
+    },
+    'workspace/bench': SAMPLE_ROWS['workspace/bench']
+    | {'quality_target': 0.8, 'first_token_ms': 10_000},
+}
+
+
+@pytest.fixture
+def world() -> Iterator[World]:
+    """Start a daemon with an engine for each version."""
+    with World(ROWS) as started:
+        started.add_engine('engine-1', 'zg-trnje', SMALL)
+        started.add_engine('engine-2', 'zg-trnje', LARGE)
+        started.add_daemon('entry-1', 'zg-trnje')
+        yield started
+
+
+def set_doubt(engine: EngineServer, serving: str, doubt: float) -> None:
+    """Let an engine tell this doubt with every answer."""
+    engine.faults = EngineFaults(doubt_by_serving={serving: doubt})
+
+
+def bills(world: World) -> list[Bill]:
+    """Return the bills on the log."""
+    return [
+        msgspec.json.decode(entry.record.body, type=Bill)
+        for entry in world.log.store.entries(BILL_STREAM)
+    ]
+
+
+def caller(world: World) -> Caller:
+    """Return a caller of the daemon."""
+    return Caller(world.address_of('entry-1'), WORKSPACE_KEY)
+
+
+class TestCascade:
+    """A doubtful answer is replaced as a whole and billed once."""
+
+    def test_escalates_and_bills_once(self, world: World) -> None:
+        small = world.engines_by_host['engine-1']
+        set_doubt(small, SMALL, 0.95)
+        set_doubt(world.engines_by_host['engine-2'], LARGE, 0.1)
+        replies = [caller(world).chat(max_tokens=5) for _ in range(6)]
+        assert all(reply.is_whole_stream for reply in replies)
+        assert {reply.served_version for reply in replies} == {LARGE}
+        assert small.served
+        wait_until(lambda: len(bills(world)) == 6, 'six bills')
+        assert {bill.serving for bill in bills(world)} == {LARGE}
+        assert {bill.tokens for bill in bills(world)} == {5}
+
+    def test_keeps_an_answer_without_doubt(self, world: World) -> None:
+        small = world.engines_by_host['engine-1']
+        set_doubt(small, SMALL, 0.05)
+        for _ in range(4):
+            reply = caller(world).chat(stream=False, max_tokens=3)
+            assert reply.status == 200
+        served = {one.serving for one in small.served}
+        assert served == {SMALL}
+
+    def test_delivers_the_doubtful_answer_if_the_next_fails(
+        self, world: World
+    ) -> None:
+        set_doubt(world.engines_by_host['engine-1'], SMALL, 0.95)
+        world.engines_by_host['engine-2'].faults = EngineFaults(fail_all=True)
+        reply = caller(world).chat(max_tokens=4)
+        assert reply.is_whole_stream
+        assert reply.served_version == SMALL
+        wait_until(lambda: len(bills(world)) == 1, 'one bill')
+        assert bills(world)[0].serving == SMALL
--- a/tools/bench/replay/replay.py
+++ b/tools/bench/replay/replay.py
@@ -8,7 +8,7 @@
     doubt_bin,
     rating_category,
 )
-from marigoldhoist.components.quality.const import FAILED
+from marigoldhoist.components.quality.const import FAILED, PLAIN
 from marigoldhoist.components.routing.cascades import Choice
 from marigoldhoist.components.routing.plans import History
 from tools.bench.replay.clockwork import Clockwork
@@ -161,6 +161,7 @@
         is_good = self._is_good(run)
         doubt = self._doubt(is_good)
         self._note(key, doubt_bin(doubt))
+        self._note(key, PLAIN)
         if not run.is_committed and self._goes_on(passage, run, doubt):
             return
         self._deliver(passage, run, is_good)
--- a/tools/bench/replay/suite.py
+++ b/tools/bench/replay/suite.py
@@ -36,16 +36,17 @@
 
     def rows(self) -> Iterator[BenchRow]:
         """Yield a row for each scenario and policy."""
-        past = self._learner()
+        past = self.learner()
         recall(
             self.workload, past, PAST_ANSWERS, random.Random(f'{self.seed}past')
         )
         for scenario in scenarios_by_name.values():
-            yield from self._scenario_rows(scenario, past)
+            yield from self.scenario_rows(scenario, past)
 
-    def _scenario_rows(
+    def scenario_rows(
         self, scenario: Scenario, past: Learner
     ) -> Iterator[BenchRow]:
+        """Yield a row for each policy in one scenario."""
         workload = self.workload
         if scenario.is_quick:
             workload = msgspec.structs.replace(
@@ -59,7 +60,7 @@
             self.seed,
             scenario.flood(workload, REQUESTS / rate),
         )
-        learner = copy.deepcopy(self._learner() if scenario.is_cold else past)
+        learner = copy.deepcopy(self.learner() if scenario.is_cold else past)
         yield self._row(scenario, stream, learner.policy, learner)
         for contender in self._others():
             yield self._row(scenario, stream, contender, None)
@@ -87,7 +88,8 @@
         recall_times(self.workload, bound, rng)
         return [*fixed_contenders(self.workload, rng), bound]
 
-    def _learner(self) -> Learner:
+    def learner(self) -> Learner:
+        """Return a learner that knows nothing yet."""
         workload = self.workload
         domains_by_version = {
             version.name: min(workload.failure_domains, version.replicas)
--- a/tools/standins/engine.py
+++ b/tools/standins/engine.py
@@ -21,6 +21,7 @@
     cut_after_tokens: int = 0
     silent_after_tokens: int = 0
     is_fencing_ignored: bool = False
+    doubt_by_serving: dict[str, float] = {}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,7 +94,17 @@
         if chat.stream:
             return WebReply(self._stream(chat, words), 200, EVENT_STREAM)
         time.sleep(self._first_token_s + self._token_time_s * len(words))
-        return json_reply(whole_answer(chat, words))
+        return json_reply(whole_answer(chat, words) | self._doubt(chat))
+
+    def _part(
+        self, chat: ChatRequest, word: str, is_last: bool
+    ) -> dict[str, Any]:
+        part = {'choices': [{'delta': {'content': word}}]}
+        return part | self._doubt(chat) if is_last else part
+
+    def _doubt(self, chat: ChatRequest) -> dict[str, Any]:
+        doubt = self.faults.doubt_by_serving.get(chat.model)
+        return {} if doubt is None else {'doubt': doubt}
 
     def _stream(self, chat: ChatRequest, words: list[str]) -> Iterator[bytes]:
         with self._lock:
@@ -101,7 +112,8 @@
         try:
             time.sleep(self._first_token_s)
             for number, word in enumerate(words, start=1):
-                yield event({'choices': [{'delta': {'content': word}}]})
+                is_last = number == len(words)
+                yield event(self._part(chat, word, is_last))
                 if number == self.faults.cut_after_tokens:
                     raise ConnectionResetError('told to cut the stream')
                 if number == self.faults.silent_after_tokens:
