Keep each session on one version by pins on the log

Cause: a session's version was computed from the weights in force, so a change of weights or two daemons with different tables moved it.

Change: the first request writes a pin, waits a bounded time for the fold's winner and sends the winner to the peers; moves after a withdrawal are pins of the next generation. During a log outage the peers are asked. Signed tokens carry the pin with the caller. Routing asks the session service where a request names a session.

--- a/marigoldhoist/components/dispatch/service.py
+++ b/marigoldhoist/components/dispatch/service.py
@@ -114,6 +114,7 @@
                 content_type=answer.content_type or JSON_TYPE,
                 serving=serving_name(passage.request, version),
                 body=self._metered(passage, version, answer),
+                session_token=self._routing.session_token(passage.request),
             )
         )
 
--- a/marigoldhoist/components/entry/app.py
+++ b/marigoldhoist/components/entry/app.py
@@ -34,6 +34,7 @@
     service_name,
 )
 from marigoldhoist.components.entry.settings import EntrySettings
+from marigoldhoist.components.sessions.const import TOKEN_HEADER
 from marigoldhoist.components.table.models import WorkspaceRow
 from marigoldhoist.components.table.service import TableService
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
@@ -178,6 +179,8 @@
         REQUEST_ID_HEADER: request.request_id,
         VERSION_HEADER: answer.serving,
     }
+    if answer.session_token:
+        headers[TOKEN_HEADER] = answer.session_token
     return Reply(answer.status, headers, answer.body)
 
 
--- a/marigoldhoist/components/entry/reader.py
+++ b/marigoldhoist/components/entry/reader.py
@@ -73,6 +73,7 @@
                 body=body,
                 deadline_s=_deadline_s(deadline_ms),
                 session=environ.get('HTTP_X_SESSION', ''),
+                session_token=environ.get('HTTP_X_SESSION_TOKEN', ''),
                 is_streamed=chat.stream,
             ),
         )
--- a/marigoldhoist/components/platform_log/work_writer.py
+++ b/marigoldhoist/components/platform_log/work_writer.py
@@ -47,6 +47,9 @@
     def cancel(self, record_id: str) -> bool:
         """Take back a record; False where it may be on the log."""
 
+    def drop(self, record_id: str) -> None:
+        """Stop appending a kept record; it may be on the log already."""
+
 
 class WorkWriter:
     """Batches the records that arrive within a few milliseconds.
@@ -94,6 +97,12 @@
             self._pending_by_id.pop(record_id)
         return True
 
+    def drop(self, record_id: str) -> None:
+        """Stop appending a kept record; it may be on the log already."""
+        with self._changed:
+            self._pending_by_id.pop(record_id, None)
+            self._changed.notify_all()
+
     def flush(self, timeout_s: float) -> bool:
         """Wait until every kept record is on the log; False on timeout."""
         with self._changed:
--- a/marigoldhoist/components/routing/service.py
+++ b/marigoldhoist/components/routing/service.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Container
+from typing import Protocol
 
 from result import Err, Ok, Result
 
@@ -21,6 +22,16 @@
 from marigoldhoist.core.kernel import BaseService, Kernel
 
 
+class SessionVersions(Protocol):
+    """Keeps sessions on their versions."""
+
+    def choose(self, request: CallerRequest) -> Result[str, RequestFailure]:
+        """Return the version of the request's session."""
+
+    def token_of(self, request: CallerRequest) -> str:
+        """Return the token of the request's session, empty for none."""
+
+
 class RoutingService(BaseService):
     """Chooses versions by the table and replicas by load."""
 
@@ -29,11 +40,22 @@
         self._table = kernel.find(TABLE, TableService)
         self._upstreams = kernel.find(UPSTREAMS, UpstreamService)
         self._rng = random.Random()
+        self._sessions: SessionVersions | None = None
+
+    def pin_sessions(self, sessions: SessionVersions) -> None:
+        """Let sessions decide for the requests that name one."""
+        self._sessions = sessions
+
+    def session_token(self, request: CallerRequest) -> str:
+        """Return the token that pins the request's session, or none."""
+        return self._sessions.token_of(request) if self._sessions else ''
 
     def choose_version(
         self, request: CallerRequest
     ) -> Result[str, RequestFailure]:
         """Choose a version; the same session or request gets the same one."""
+        if request.session and self._sessions:
+            return self._sessions.choose(request)
         model = request.target
         weights = usable_weights(self._table.state, request.workspace, model)
         if not weights:
--- /dev/null
+++ b/marigoldhoist/components/sessions/chooser.py
@@ -0,0 +1,119 @@
+"""Choose the version of a request that names a session."""
+
+from typing import Final, Protocol
+
+from result import Err, Ok, Result
+
+from marigoldhoist.components.sessions.choice import (
+    first_version,
+    is_usable,
+    operators_version,
+    successor,
+)
+from marigoldhoist.components.sessions.models import Pin, SessionKey
+from marigoldhoist.components.sessions.pins import Pins
+from marigoldhoist.components.sessions.tokens import SessionTokens
+from marigoldhoist.components.table.state import TableState
+from marigoldhoist.core.clock import SYSTEM_CLOCK, Clock
+from marigoldhoist.core.errors import ErrorCode, RequestFailure
+from marigoldhoist.core.exchange import CallerRequest
+
+MAX_MOVES: Final = 3
+
+
+class TableHolder(Protocol):
+    """Whoever holds the table in force."""
+
+    @property
+    def state(self) -> TableState:
+        """Return the table in force."""
+
+
+class SessionChooser:
+    """Follows the operator's row, then the pin, then a first choice."""
+
+    def __init__(
+        self,
+        host: str,
+        table: TableHolder,
+        pins: Pins,
+        tokens: SessionTokens,
+        clock: Clock = SYSTEM_CLOCK,
+    ) -> None:
+        self._host = host
+        self._table = table
+        self._pins = pins
+        self._tokens = tokens
+        self._clock = clock
+
+    def choose(self, request: CallerRequest) -> Result[str, RequestFailure]:
+        """Return the version of the request's session."""
+        key = _key_of(request)
+        named = operators_version(self._table.state, key)
+        if named:
+            return Ok(named)
+        pin = self._known(key, request) or self._first(key)
+        for _ in range(MAX_MOVES):
+            if pin is None or self._is_usable(pin):
+                break
+            pin = self._move(pin)
+        if pin is None or not self._is_usable(pin):
+            return Err(
+                RequestFailure(
+                    ErrorCode.NO_VERSION,
+                    f'no version of {key.model} takes work',
+                )
+            )
+        self._pins.uphold(pin)
+        return Ok(pin.version)
+
+    def token_of(self, request: CallerRequest) -> str:
+        """Return the token of the request's session, empty for none."""
+        if not request.session:
+            return ''
+        pin = self._pins.find(_key_of(request))
+        return self._tokens.issue(pin) if pin else ''
+
+    def _known(self, key: SessionKey, request: CallerRequest) -> Pin | None:
+        pin = self._pins.find(key)
+        if pin is not None:
+            return pin
+        carried = self._tokens.read(
+            request.session_token, key, self._clock.now_ms()
+        )
+        if carried is not None:
+            return self._pins.propose(carried)
+        return None
+
+    def _is_usable(self, pin: Pin) -> bool:
+        return is_usable(self._table.state, pin.key, pin.version)
+
+    def _first(self, key: SessionKey) -> Pin | None:
+        version = first_version(self._table.state, key)
+        if not version:
+            return None
+        return self._pins.propose(self._new_pin(key, version))
+
+    def _move(self, pin: Pin) -> Pin | None:
+        version = successor(self._table.state, pin)
+        if not version:
+            return None
+        return self._pins.propose(self._new_pin(pin.key, version, pin))
+
+    def _new_pin(
+        self, key: SessionKey, version: str, replaced: Pin | None = None
+    ) -> Pin:
+        return Pin(
+            workspace=key.workspace,
+            model=key.model,
+            session=key.session,
+            version=version,
+            generation=replaced.generation + 1 if replaced else 0,
+            proposed_ms=self._clock.now_ms(),
+            host=self._host,
+            replaces=replaced.version if replaced else '',
+        )
+
+
+def _key_of(request: CallerRequest) -> SessionKey:
+    return SessionKey(request.workspace, request.target, request.session)
--- /dev/null
+++ b/marigoldhoist/components/sessions/service.py
@@ -0,0 +1,103 @@
+"""The session service: the version of each session."""
+
+import msgspec
+from result import Ok
+
+from marigoldhoist.components.peers.const import COMPONENT as PEERS
+from marigoldhoist.components.peers.service import PeerService
+from marigoldhoist.components.peers.settings import PeerSettings
+from marigoldhoist.components.platform_log.const import COMPONENT as LOG
+from marigoldhoist.components.platform_log.const import WORK_STREAM
+from marigoldhoist.components.platform_log.service import LogService
+from marigoldhoist.components.platform_log.work_writer import WorkWriter
+from marigoldhoist.components.routing.const import COMPONENT as ROUTING
+from marigoldhoist.components.routing.service import RoutingService
+from marigoldhoist.components.sessions.chooser import SessionChooser
+from marigoldhoist.components.sessions.const import (
+    ASK_TIMEOUT_S,
+    ASKED_PEERS,
+    FIND_TOPIC,
+    PINS_TOPIC,
+)
+from marigoldhoist.components.sessions.models import (
+    Pin,
+    SessionKey,
+    SessionStatus,
+)
+from marigoldhoist.components.sessions.pins import Pins, encode_pin
+from marigoldhoist.components.sessions.settings import SessionSettings
+from marigoldhoist.components.sessions.tokens import SessionTokens
+from marigoldhoist.components.table.const import COMPONENT as TABLE
+from marigoldhoist.components.table.service import TableService
+from marigoldhoist.core.identity import DaemonSettings
+from marigoldhoist.core.kernel import BaseService, Kernel
+
+
+class PeerGossip:
+    """Carries pins over the peer links."""
+
+    def __init__(self, peers: PeerService, failure_domain: str) -> None:
+        self._peers = peers
+        self._domain = failure_domain
+
+    def spread(self, pin: Pin) -> None:
+        """Send a pin to the linked peers."""
+        self._peers.publish(PINS_TOPIC, encode_pin(pin))
+
+    def ask(self, key: SessionKey) -> tuple[Pin, ...]:
+        """Return the pins that a few near peers know."""
+        wanted = msgspec.msgpack.encode(key)
+        near_first = sorted(
+            self._peers.live(),
+            key=lambda peer: peer.failure_domain != self._domain,
+        )
+        replies = (
+            self._peers.call(peer.host, FIND_TOPIC, wanted, ASK_TIMEOUT_S)
+            for peer in near_first[:ASKED_PEERS]
+        )
+        return tuple(
+            msgspec.msgpack.decode(reply.ok_value, type=Pin)
+            for reply in replies
+            if isinstance(reply, Ok) and reply.ok_value
+        )
+
+
+class SessionService(BaseService):
+    """Keeps sessions on their versions, with the log and the peers."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        daemon = kernel.settings.section(DaemonSettings)
+        settings = kernel.settings.section(SessionSettings)
+        log = kernel.find(LOG, LogService)
+        self._peers = kernel.find(PEERS, PeerService)
+        feed = log.feeds_by_stream[WORK_STREAM]
+        self._writer = WorkWriter(kernel, log, WORK_STREAM)
+        gossip = PeerGossip(self._peers, daemon.failure_domain)
+        self.pins = Pins(settings, feed, self._writer, gossip)
+        feed.add_fold(self.pins.apply)
+        key = kernel.settings.section(PeerSettings).read_key()
+        chooser = SessionChooser(
+            daemon.host,
+            kernel.find(TABLE, TableService),
+            self.pins,
+            SessionTokens(key, settings.ttl_ms),
+        )
+        kernel.find(ROUTING, RoutingService).pin_sessions(chooser)
+
+    def start(self) -> None:
+        """Answer peers and begin to append pins."""
+        self._peers.subscribe(PINS_TOPIC, self._on_pin)
+        self._peers.subscribe(FIND_TOPIC, self._on_find)
+        self._kernel.spawn('sessions', self._writer.run)
+
+    def status(self) -> SessionStatus:
+        """Return what operators see of the sessions."""
+        return SessionStatus(len(self.pins.fold), self.pins.unlogged)
+
+    def _on_pin(self, _sender: str, payload: bytes) -> None:
+        self.pins.learn(msgspec.msgpack.decode(payload, type=Pin))
+
+    def _on_find(self, _sender: str, payload: bytes) -> bytes:
+        key = msgspec.msgpack.decode(payload, type=SessionKey)
+        return encode_pin(self.pins.find(key))
--- a/marigoldhoist/core/exchange.py
+++ b/marigoldhoist/core/exchange.py
@@ -20,6 +20,7 @@
     body: bytes
     deadline_s: float
     session: str = ''
+    session_token: str = ''
     quality_target: float = 0
     is_streamed: bool = False
     is_repeatable: bool = True
@@ -41,3 +42,4 @@
     content_type: str
     serving: str
     body: Iterator[bytes]
+    session_token: str = ''
--- a/tests/components/log_fakes.py
+++ b/tests/components/log_fakes.py
@@ -94,6 +94,10 @@
         """Refuse: every submitted record was sent at once."""
         return False
 
+    def drop(self, record_id: str) -> None:
+        """Forget a held record."""
+        self.kept_by_id.pop(record_id, None)
+
     def ship(self, fate: Fate) -> None:
         """Append what is held; it stays held until confirmed."""
         for record in tuple(self.kept_by_id.values()):
