--- a/marigoldhoist/components/claims/fold.py
+++ b/marigoldhoist/components/claims/fold.py
@@ -81,18 +81,22 @@
                 self._settle(entry)
             self._forget_old()
 
-    def dump(self) -> KeptClaims:
+    def dump(self) -> msgspec.Raw:
         """Return everything, for a snapshot."""
         with self._lock:
             orders = tuple(
                 _kept(key, order) for key, order in self._order_by_key.items()
             )
-            return KeptClaims(self.covered_from_ms, self.newest_ms, orders)
+            kept = KeptClaims(
+                self.covered_from_ms, self.newest_ms, self._next_offset, orders
+            )
+        return msgspec.Raw(msgspec.json.encode(kept))
 
-    def restore(self, kept: KeptClaims, next_offset: int) -> None:
-        """Replace everything by a snapshot taken before next_offset."""
+    def restore(self, dumped: msgspec.Raw) -> None:
+        """Replace everything by a snapshot's content."""
+        kept = msgspec.json.decode(dumped, type=KeptClaims)
         with self._lock:
-            self._next_offset = next_offset
+            self._next_offset = kept.next_offset
             self.newest_ms = kept.newest_ms
             self.covered_from_ms = kept.covered_from_ms
             self._order_by_key = {
--- a/marigoldhoist/components/claims/models.py
+++ b/marigoldhoist/components/claims/models.py
@@ -53,6 +53,7 @@
 
     covered_from_ms: int
     newest_ms: int
+    next_offset: int
     orders: tuple[KeptOrder, ...]
 
 
--- a/marigoldhoist/components/claims/service.py
+++ b/marigoldhoist/components/claims/service.py
@@ -1,6 +1,6 @@
 """The claim service."""
 
-from marigoldhoist.components.claims.const import STAGE_ORDER
+from marigoldhoist.components.claims.const import COMPONENT, STAGE_ORDER
 from marigoldhoist.components.claims.models import ClaimStatus
 from marigoldhoist.components.claims.settings import ClaimSettings
 from marigoldhoist.components.claims.stage import ClaimStage
@@ -28,7 +28,9 @@
             feed,
             self._writer,
         )
-        feed.add_fold(self.stage.fold.apply)
+        fold = self.stage.fold
+        feed.add_fold(fold.apply)
+        feed.add_part(COMPONENT, fold.dump, fold.restore)
         dispatch = kernel.find(DISPATCH, DispatchService)
         dispatch.add_stage(STAGE_ORDER, self.stage)
 
--- a/marigoldhoist/components/sessions/choice.py
+++ b/marigoldhoist/components/sessions/choice.py
@@ -36,7 +36,9 @@
 
 def successor(state: TableState, pin: Pin) -> str:
     """Return the version that follows an unusable one, empty for none."""
-    row = state.version(pin.model, pin.version)
-    if row and row.successor and is_usable(state, pin.key, row.successor):
-        return row.successor
+    following = state.successor_of(
+        pin.workspace, pin.model, pin.version, pin.session
+    )
+    if following and is_usable(state, pin.key, following):
+        return following
     return first_version(state, pin.key)
--- a/marigoldhoist/components/sessions/fold.py
+++ b/marigoldhoist/components/sessions/fold.py
@@ -54,14 +54,16 @@
             self._pin(pin)
         return pin.key
 
-    def dump(self) -> KeptPins:
+    def dump(self) -> msgspec.Raw:
         """Return every pin, for a snapshot."""
         with self._lock:
             kept = tuple(self._kept_by_key.values())
-            return KeptPins(self.newest_ms, kept)
+            dumped = KeptPins(self.newest_ms, kept)
+        return msgspec.Raw(msgspec.json.encode(dumped))
 
-    def restore(self, kept: KeptPins) -> None:
+    def restore(self, dumped: msgspec.Raw) -> None:
         """Replace every pin by those of a snapshot."""
+        kept = msgspec.json.decode(dumped, type=KeptPins)
         with self._lock:
             self.newest_ms = kept.newest_ms
             self._kept_by_key = {one.pin.key: one for one in kept.pins}
--- a/marigoldhoist/components/sessions/service.py
+++ b/marigoldhoist/components/sessions/service.py
@@ -16,6 +16,7 @@
 from marigoldhoist.components.sessions.const import (
     ASK_TIMEOUT_S,
     ASKED_PEERS,
+    COMPONENT,
     FIND_TOPIC,
     PINS_TOPIC,
 )
@@ -76,6 +77,7 @@
         gossip = PeerGossip(self._peers, daemon.failure_domain)
         self.pins = Pins(settings, feed, self._writer, gossip)
         feed.add_fold(self.pins.apply)
+        feed.add_part(COMPONENT, self.pins.fold.dump, self.pins.fold.restore)
         key = kernel.settings.section(PeerSettings).read_key()
         chooser = SessionChooser(
             daemon.host,
--- a/tests/components/claims/test_stage.py
+++ b/tests/components/claims/test_stage.py
@@ -8,7 +8,11 @@
 from marigoldhoist.components.claims.fold import ClaimFold
 from marigoldhoist.components.claims.models import ClaimBody, OrderKey
 from marigoldhoist.components.dispatch.stages import Admission, Outcome
-from marigoldhoist.components.platform_log.models import LogEntry, new_record
+from marigoldhoist.components.platform_log.models import (
+    FeedDump,
+    LogEntry,
+    new_record,
+)
 from marigoldhoist.core.errors import RequestFailure
 from marigoldhoist.core.exchange import Answer
 from marigoldhoist.core.verdict import Verdict
@@ -175,7 +179,7 @@
     def test_started_late(self) -> None:
         log = FakeLog()
         host = Host('entry-1', log, 0)
-        host.feed.jump_to(7)
+        host.feed.restore(FeedDump(7, '', {}))
         record = new_record('other', None)
         host.feed.offer([LogEntry(7, START_MS, record)])
         early = order_id(START_MS + 60_000, 1)
@@ -191,7 +195,7 @@
         whole = ClaimFold(6 * HOUR_MS)
         whole.apply(log.entries[0])
         restored = ClaimFold(6 * HOUR_MS)
-        restored.restore(whole.dump(), 1)
+        restored.restore(whole.dump())
         assert restored.dump() == whole.dump()
         key = OrderKey('bench', ORDER)
         assert restored.find(key) == whole.find(key)
--- a/tests/components/sessions/hosts.py
+++ b/tests/components/sessions/hosts.py
@@ -15,11 +15,12 @@
     AnyRow,
     ModelRow,
     SessionRow,
+    StoredRow,
     VersionRow,
     VersionState,
     WorkspaceRow,
 )
-from marigoldhoist.components.table.state import StoredRow, TableState
+from marigoldhoist.components.table.state import TableState
 from marigoldhoist.core.exchange import CallerRequest
 from tests.components.log_fakes import FakeLog, FakeWriter
 
--- a/tests/components/sessions/test_chooser.py
+++ b/tests/components/sessions/test_chooser.py
@@ -133,6 +133,18 @@
         assert pair.first.ask(request('quote')) == 'large'
 
 
+class TestSnapshot:
+    """A snapshot carries every pin."""
+
+    def test_restores_the_pins(self, pair: Pair) -> None:
+        pair.table.weights = only('small')
+        pair.first.ask(request('quote'))
+        fresh = Host('entry-9', FakeLog(), pair.table)
+        fresh.pins.fold.restore(pair.first.pins.fold.dump())
+        pair.table.weights = only('large')
+        assert fresh.ask(request('quote')) == 'small'
+
+
 class TestToken:
     """A token is proof of its own session's version, and of no other's."""
 
--- a/tests/components/sessions/test_whole.py
+++ b/tests/components/sessions/test_whole.py
@@ -71,13 +71,18 @@
         assert served(world, 'entry-2', 'quote') == SMALL
         assert served(world, 'entry-2', 'inventory') == LARGE
 
-    def test_moves_once_when_withdrawn(self, world: World) -> None:
-        put(world, 'model/pult-model', ALL_SMALL, 0)
+    @pytest.mark.parametrize('state', ['held', 'withdrawn'])
+    def test_moves_when_its_version_stops(
+        self, world: World, state: str
+    ) -> None:
+        weighted = {'weights_by_version': {'small': 9999, 'large': 1}}
+        put(world, 'model/pult-model', weighted, 0)
         assert served(world, 'entry-1', 'quote') == SMALL
-        withdrawn = {'state': 'withdrawn', 'successor': 'large'}
-        offset = put(world, 'version/pult-model/small', withdrawn, 0)
+        stopped = {'state': state, 'successor': 'large'}
+        offset = put(world, 'version/pult-model/small', stopped, 0)
         assert served(world, 'entry-2', 'quote') == LARGE
-        put(world, 'version/pult-model/small', {}, offset)
+        if state == 'held':
+            put(world, 'version/pult-model/small', {}, offset)
         assert served(world, 'entry-1', 'quote') == LARGE
 
     def test_started_in_a_log_outage(self, world: World) -> None:
--- a/tools/world/world.py
+++ b/tools/world/world.py
@@ -44,6 +44,7 @@
         self.log_by_host: dict[str, LogServer] = {}
         self._entries_by_host: dict[str, HostEntry] = {}
         self._servers: list[WebServer] = []
+        self.entry_settings: dict[str, object] = {}
         self.change_table(change_of(SAMPLE_ROWS if rows is None else rows))
 
     def __enter__(self) -> 'World':
@@ -103,14 +104,22 @@
         )
         return plain
 
-    def add_daemon(self, host: str, domain: str) -> Kernel:
-        """Start a daemon and wait until it has a table."""
+    def add_daemon(
+        self, host: str, domain: str, log_faults: LogFaults | None = None
+    ) -> Kernel:
+        """Start a daemon, with faults of the log as it meets it."""
         address = next_address()
         own_log = LogServer(next_address(), LOG_PORT, self.log.store)
+        own_log.faults = log_faults or LogFaults()
         self.log_by_host[host] = own_log
         self._serve(own_log.server)
         text = settings_text(
-            host, domain, address, own_log.server.address, self.platform
+            host,
+            domain,
+            address,
+            own_log.server.address,
+            self.platform,
+            self.entry_settings,
         )
         self.list_host(
             HostEntry(host, HostRole.DAEMON, address, PEER_PORT, domain)
