Tell peers of a hold until the table shows it

Cause: a hold was told once; a peer whose link was not up yet never learnt of it and kept sending work to the bad version until the log answered again. Ruled out: the peer refusing the notice (its revision and last-version checks pass).

Change: the daemon that judged the version repeats the notice until the table has changed; peers that hold already pass it over.

Conclusion: a hold reaches peers that link up later.

--- a/marigoldhoist/components/health/service.py
+++ b/marigoldhoist/components/health/service.py
@@ -41,10 +41,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LocalHold:
-    """A hold that the table does not show yet, and when to submit it."""
+    """A hold that the table does not show yet, and when to submit it.
+
+    The daemon that judged the version tells its peers until the table does.
+    """
 
     notice: HoldNotice
     submit_s: float
+    is_own: bool
 
 
 class HealthService(BaseService):
@@ -104,26 +108,29 @@
 
     def hold_and_tell(self, notice: HoldNotice) -> None:
         """Hold a version here, at the peers and then in the table."""
-        if self._hold(notice, 0):
-            payload = msgspec.msgpack.encode(notice)
-            self._peers.publish(HOLD_TOPIC, payload)
+        self._hold(LocalHold(notice, time.monotonic(), is_own=True))
+        self._tell(notice)
+
+    def _tell(self, notice: HoldNotice) -> None:
+        self._peers.publish(HOLD_TOPIC, msgspec.msgpack.encode(notice))
 
-    def _hold(self, notice: HoldNotice, wait_s: float) -> bool:
+    def _hold(self, hold: LocalHold) -> None:
+        notice = hold.notice
         serving = f'{notice.model}/{notice.version}'
-        submit_s = time.monotonic() + wait_s
         with self._lock:
             if serving in self._hold_by_serving:
-                return False
-            self._hold_by_serving[serving] = LocalHold(notice, submit_s)
+                return
+            self._hold_by_serving[serving] = hold
         self._routing.holds.hold(notice.model, notice.version)
         emit(VERSION_HELD, serving=serving, reason=notice.reason)
-        return True
 
     def _on_notice(self, _sender: str, payload: bytes) -> None:
         notice = msgspec.msgpack.decode(payload, type=HoldNotice)
         is_known = self._revision(notice) <= notice.revision
         if is_known and not self._is_last(notice.model, notice.version):
-            self._hold(notice, OTHERS_WAIT_S * (1 + random.random()))
+            wait_s = OTHERS_WAIT_S * (1 + random.random())
+            submit_s = time.monotonic() + wait_s
+            self._hold(LocalHold(notice, submit_s, is_own=False))
 
     def _submit_all(self) -> None:
         while not self._kernel.stopping.wait(SUBMIT_INTERVAL_S):
@@ -134,7 +141,11 @@
         notice = hold.notice
         if self._revision(notice) > notice.revision:
             self._end(notice)
-        elif time.monotonic() >= hold.submit_s:
+            return
+        # A peer may have been out of reach when it was told before.
+        if hold.is_own:
+            self._tell(notice)
+        if time.monotonic() >= hold.submit_s:
             self._submit(notice)
 
     def _submit(self, notice: HoldNotice) -> None:
