--- a/tools/bench/state.py
+++ b/tools/bench/state.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 from tools.bench.relay_idle import measure_idle
+from tools.bench.state_hosts import measure_hosts
 from tools.bench.state_peers import (
     measure_appends,
     measure_in_force,
@@ -26,6 +27,7 @@
     program = (chosen.binary,) if chosen.binary else source_program()
     parts: dict[str, Callable[[], None]] = {
         'fold': measure_fold,
+        'hosts': measure_hosts,
         'start': partial(measure_start, program),
         'peers': measure_peers,
         'idle': partial(measure_idle, program),
--- a/tools/bench/state_peers.py
+++ b/tools/bench/state_peers.py
@@ -145,7 +145,7 @@
         if is_cut:
             world.set_log_faults(LogFaults(is_down=True), 'entry-1', 'entry-2')
         times_ms = [_change(world, number) for number in range(CHANGES)]
-    cuts = statistics.quantiles(times_ms, n=PER_CENT)
+    cuts = statistics.quantiles(times_ms, n=PER_CENT, method='inclusive')
     name = 'two of three cut off' if is_cut else 'log reachable'
     print(
         f'in force: {name:22} p50 {cuts[49]:6.1f} ms  p99 {cuts[98]:6.1f} ms'
--- a/tools/bench/state_table.py
+++ b/tools/bench/state_table.py
@@ -54,7 +54,9 @@
 
 
 def _rows(count: int) -> dict[str, object]:
-    added = {f'service/service-{number}': {} for number in range(count)}
+    added: dict[str, object] = {
+        f'service/service-{number}': {} for number in range(count)
+    }
     return SAMPLE_ROWS | added
 
 
