--- a/marigoldhoist/components/streams/service.py
+++ b/marigoldhoist/components/streams/service.py
@@ -16,12 +16,14 @@
     UpstreamCutError,
     UpstreamSilentError,
 )
+from marigoldhoist.components.streams.events import STREAM_CUT
 from marigoldhoist.components.streams.models import StreamStatus
 from marigoldhoist.components.streams.stream import (
     RelayedStream,
     StreamTask,
     WaitFor,
 )
+from marigoldhoist.core.events import emit
 from marigoldhoist.core.kernel import BaseService, Kernel
 
 CALLER_EVENTS = select.EPOLLRDHUP
@@ -58,6 +60,8 @@
         stream.caller.setblocking(False)
         self._begin(stream)
         stream.ended.wait()
+        if isinstance(stream.failure, UpstreamCutError | UpstreamSilentError):
+            emit(STREAM_CUT, reason=str(stream.failure), tokens=stream.tokens)
         stream.upstream.settimeout(upstream_timeout_s)
         stream.caller.settimeout(caller_timeout_s)
 
