--- a/marigoldhoist/core/exchange.py
+++ b/marigoldhoist/core/exchange.py
@@ -21,6 +21,7 @@
     deadline_s: float
     session: str = ''
     task: str = ''
+    session_token: str = ''
     quality_target: float = 0
     is_streamed: bool = False
     is_repeatable: bool = True
@@ -42,3 +43,4 @@
     content_type: str
     serving: str
     body: Iterator[bytes]
+    session_token: str = ''
