Fetch ratings, and estimate waits without a view of every replica

Change: a client polls the rating service from an offset and matches each rating once with a remembered answer; an outage loses none and holds up nothing.

--- a/marigoldhoist/components/dispatch/__init__.py
+++ b/marigoldhoist/components/dispatch/__init__.py
@@ -4,6 +4,7 @@
 from marigoldhoist.components.dispatch.const import COMPONENT
 from marigoldhoist.components.dispatch.service import DispatchService
 from marigoldhoist.components.quality.const import COMPONENT as QUALITY
+from marigoldhoist.components.ratings.const import COMPONENT as RATINGS
 from marigoldhoist.components.routing.const import COMPONENT as ROUTING
 from marigoldhoist.components.streams.const import COMPONENT as STREAMS
 from marigoldhoist.components.table.const import COMPONENT as TABLE
@@ -12,7 +13,8 @@
 
 
 @component(
-    COMPONENT, needs=(BILLING, QUALITY, ROUTING, STREAMS, TABLE, UPSTREAMS)
+    COMPONENT,
+    needs=(BILLING, QUALITY, RATINGS, ROUTING, STREAMS, TABLE, UPSTREAMS),
 )
 def set_up(kernel: Kernel) -> DispatchService:
     """Create the dispatch service."""
--- a/marigoldhoist/components/dispatch/cascade.py
+++ b/marigoldhoist/components/dispatch/cascade.py
@@ -17,6 +17,8 @@
 from marigoldhoist.components.quality.cells import CellKey, doubt_bin
 from marigoldhoist.components.quality.const import COMPONENT as QUALITY
 from marigoldhoist.components.quality.service import QualityService
+from marigoldhoist.components.ratings.const import COMPONENT as RATINGS
+from marigoldhoist.components.ratings.service import RatingService
 from marigoldhoist.components.routing.cascades import Ask, Choice
 from marigoldhoist.components.routing.const import COMPONENT as ROUTING
 from marigoldhoist.components.routing.live import ModelCascade, ask_of
@@ -66,6 +68,7 @@
         self._table = kernel.find(TABLE, TableService)
         self._routing = kernel.find(ROUTING, RoutingService)
         self._quality = kernel.find(QUALITY, QualityService)
+        self._ratings = kernel.find(RATINGS, RatingService)
         self._attempts = attempts
 
     def applies(self, request: CallerRequest) -> bool:
@@ -152,8 +155,13 @@
         course.cascade.observe_times(version, held.first_s, held.whole_s)
         if held.doubt is None:
             return
+        key = self._key(course, version, held.replica.failure_domain)
         doubt = doubt_bin(held.doubt)
-        self._note(course, version, held.replica.failure_domain, doubt)
+        self._quality.note(key, doubt)
+        request = course.passage.request
+        self._ratings.expect(
+            (request.workspace, request.request_id), key, held.doubt
+        )
         course.history = (*course.history, (version, doubt))
         if course.is_committed:
             course.cascade.delivered(course.ask, course.history)
@@ -190,18 +198,14 @@
             return failed
         return Ok(spare)
 
-    def _note(
-        self, course: Course, version: str, domain: str, category: int
-    ) -> None:
-        after = course.history[-1][0] if course.history else ''
-        key = CellKey(
+    def _key(self, course: Course, version: str, domain: str) -> CellKey:
+        return CellKey(
             course.passage.request.target,
             course.ask.task,
             version,
-            after,
+            course.history[-1][0] if course.history else '',
             domain,
         )
-        self._quality.note(key, category)
 
     def _ask(self, request: CallerRequest) -> Ask | None:
         task = self._quality.known_task(request.task or request.workspace)
--- /dev/null
+++ b/marigoldhoist/components/ratings/service.py
@@ -0,0 +1,91 @@
+"""Match ratings with the answers of this daemon."""
+
+import msgspec
+import urllib3
+
+from marigoldhoist.components.quality.cells import CellKey, rating_category
+from marigoldhoist.components.quality.const import COMPONENT as QUALITY
+from marigoldhoist.components.quality.service import QualityService
+from marigoldhoist.components.ratings.const import FETCH_LIMIT, FETCH_TIMEOUT_S
+from marigoldhoist.components.ratings.events import (
+    RATINGS_READABLE,
+    RATINGS_UNREADABLE,
+)
+from marigoldhoist.components.ratings.models import (
+    Rating,
+    RatingPage,
+    RatingStatus,
+)
+from marigoldhoist.components.ratings.recent import RecentAnswer, RecentAnswers
+from marigoldhoist.components.ratings.settings import RatingSettings
+from marigoldhoist.core.events import emit
+from marigoldhoist.core.kernel import BaseService, Kernel
+
+
+class RatingService(BaseService):
+    """Polls ratings; while they are down nothing waits for them."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._settings = kernel.settings.section(RatingSettings)
+        self._quality = kernel.find(QUALITY, QualityService)
+        self._pool = urllib3.PoolManager(num_pools=1, retries=False)
+        self._recent = RecentAnswers()
+        self._offset = 0
+        self._is_readable = True
+        self._matched = 0
+
+    def ready(self) -> None:
+        """Begin to poll, if there is an address."""
+        if self._settings.url:
+            self._kernel.spawn('ratings', self._poll)
+
+    def status(self) -> RatingStatus:
+        """Return what operators see of the ratings."""
+        return RatingStatus(self._is_readable, self._matched)
+
+    def expect(
+        self, request: tuple[str, str], key: CellKey, doubt: float
+    ) -> None:
+        """Remember a delivered answer, by workspace and request id."""
+        if self._settings.url:
+            self._recent.add(request, RecentAnswer(key, doubt))
+
+    def fetch(self) -> None:
+        """Read the ratings since the last call."""
+        try:
+            page = self._page()
+        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
+            self._set_readable(False, str(error))
+            return
+        self._set_readable(True, '')
+        self._offset = page.next_offset
+        for rating in page.ratings:
+            self._match(rating)
+
+    def _page(self) -> RatingPage:
+        url = (
+            f'{self._settings.url}/ratings'
+            f'?offset={self._offset}&limit={FETCH_LIMIT}'
+        )
+        reply = self._pool.request('GET', url, timeout=FETCH_TIMEOUT_S)
+        return msgspec.json.decode(reply.data, type=RatingPage)
+
+    def _match(self, rating: Rating) -> None:
+        answer = self._recent.take((rating.workspace, rating.request_id))
+        if answer is None:
+            return
+        self._matched += 1
+        category = rating_category(answer.doubt, rating.is_good)
+        self._quality.note(answer.key, category)
+
+    def _set_readable(self, is_readable: bool, error: str) -> None:
+        if is_readable and not self._is_readable:
+            emit(RATINGS_READABLE)
+        if self._is_readable and not is_readable:
+            emit(RATINGS_UNREADABLE, error=error)
+        self._is_readable = is_readable
+
+    def _poll(self) -> None:
+        while not self._kernel.stopping.wait(self._settings.poll_interval_s):
+            self.fetch()
--- a/marigoldhoist/components/routing/service.py
+++ b/marigoldhoist/components/routing/service.py
@@ -10,11 +10,11 @@
 from marigoldhoist.components.routing.const import (
     DEFAULT_SERVICE_TIME_S,
     PLAN_INTERVAL_S,
-    SLOTS_PER_BATCH,
 )
 from marigoldhoist.components.routing.holds import Holds
 from marigoldhoist.components.routing.live import LiveCascades, ModelCascade
 from marigoldhoist.components.routing.loads import LoadContext, replica_views
+from marigoldhoist.components.routing.near import NearReplicas
 from marigoldhoist.components.routing.replicas import (
     PickContext,
     ReplicaView,
@@ -25,6 +25,7 @@
     pick_by_weight,
     usable_weights,
 )
+from marigoldhoist.components.routing.waits import least_load
 from marigoldhoist.components.table.const import COMPONENT as TABLE
 from marigoldhoist.components.table.service import TableService
 from marigoldhoist.components.upstreams.const import COMPONENT as UPSTREAMS
@@ -47,6 +48,7 @@
         self._table = kernel.find(TABLE, TableService)
         self._upstreams = kernel.find(UPSTREAMS, UpstreamService)
         self._kernel = kernel
+        self._near = NearReplicas(self._subset)
         self.cascades = LiveCascades()
         self.holds = Holds()
         kernel.find(QUALITY, QualityService).add_learner(self.cascades.observe)
@@ -120,17 +122,18 @@
     def _expected_wait_s(
         self, serving: str, version: str, cascade: ModelCascade
     ) -> float | None:
-        replicas = replica_subset(
+        replicas = self._near.of(serving)
+        least = least_load(replicas)
+        if least is None:
+            return None
+        return least.wait_s(cascade.policy.times_by_version[version])
+
+    def _subset(self, serving: str) -> list[Replica]:
+        return replica_subset(
             self._upstreams.replicas_serving(serving),
             self._host,
             self._picking.failure_domain,
         )
-        views = _views(replicas)
-        if not views:
-            return None
-        best = min(views, key=lambda view: view.use)
-        times = cascade.policy.times_by_version[version]
-        return times.wait_s(best.in_flight, best.slots * SLOTS_PER_BATCH)
 
     def _plan(self) -> None:
         while not self._kernel.stopping.wait(PLAN_INTERVAL_S):
--- a/tools/bench/replay/engine.py
+++ b/tools/bench/replay/engine.py
@@ -78,15 +78,12 @@
             slots=self._full,
         )
 
-    def count_own(self) -> None:
-        """Show how many requests one of the daemons has here."""
-        self.view.in_flight = self._own()
-
     def begin(self, run: Run) -> None:
         """Take a run; it starts at once or waits for a slot."""
         run.was_queued = self.load >= self._limit
         self._queue.append(run)
         self._fill()
+        self.view.in_flight = self._own()
 
     def end(self, run: Run, is_failed: bool = False) -> None:
         """End a run, and start the next that waits."""
@@ -96,6 +93,7 @@
         run.is_failed = is_failed
         self._running.discard(run)
         self._fill()
+        self.view.in_flight = self._own()
 
     def fail(self) -> None:
         """Go down with all that runs and waits."""
--- a/tools/bench/replay/fleet.py
+++ b/tools/bench/replay/fleet.py
@@ -10,6 +10,7 @@
 )
 from marigoldhoist.components.routing.subsets import replica_subset
 from marigoldhoist.components.routing.times import StageTimes
+from marigoldhoist.components.routing.waits import least_load
 from marigoldhoist.components.upstreams.models import Replica
 from tools.bench.replay.clockwork import Clockwork
 from tools.bench.replay.contenders import BoundContender, Contender
@@ -41,7 +42,6 @@
         self._service_time_s = DEFAULT_SERVICE_TIME_S
         self._turn_by_version: dict[str, int] = {}
         self._picked_by_version: dict[str, FakeEngine] = {}
-        self._load_by_version: dict[str, float] = {}
         self._subset_by_version: dict[str, list[Replica]] = {}
         self.engines_by_version = _engines(workload, clockwork)
         self._engine_by_host = {
@@ -76,13 +76,14 @@
 
     def wait_s(self, version: str) -> float | None:
         """Return the expected seconds to the first token, if it is usable."""
-        engine = self.pick(version)
-        if engine is None:
+        if version in self.held:
             return None
-        load = self._load_by_version.get(version, engine.load)
         times = self.times_by_version[version]
-        wait_s: float = times.wait_s(load, self._workload.batch_limit)
-        return wait_s
+        if isinstance(self._contender, BoundContender):
+            engine = self.pick(version)
+            return None if engine is None else self._true_wait_s(engine, times)
+        least = least_load(self._subset(version))
+        return None if least is None else least.wait_s(times)
 
     def pick(self, version: str) -> FakeEngine | None:
         """Pick a replica, the same one within a decision."""
@@ -113,25 +114,27 @@
         if isinstance(self._contender, BoundContender):
             up = [engine for engine in engines if engine.is_up]
             return min(up, key=lambda engine: engine.load, default=None)
-        return self._pick_by_load(engines, version)
+        return self._pick_by_load(version)
 
-    def _pick_by_load(
-        self, engines: list[FakeEngine], version: str
-    ) -> FakeEngine | None:
-        """Pick as a daemon does, from reports and its own requests."""
+    def _subset(self, version: str) -> list[Replica]:
         near = self._subset_by_version.get(version)
         if near is None:
+            engines = self.engines_by_version[version]
             replicas = [engine.view for engine in engines]
             near = replica_subset(replicas, DAEMON, DOMAIN)
             self._subset_by_version[version] = near
-        for view in near:
-            self._engine_by_host[view.host].count_own()
+        return near
+
+    def _true_wait_s(self, engine: FakeEngine, times: StageTimes) -> float:
+        return times.wait_s(engine.load, self._workload.batch_limit)
+
+    def _pick_by_load(self, version: str) -> FakeEngine | None:
+        """Pick as a daemon does, from reports and its own requests."""
         context = LoadContext(self._clockwork.now_s, self._service_time_s)
-        views = replica_views(near, context)
+        views = replica_views(self._subset(version), context)
         picked = pick_replica(views, self._picking)
         if picked is None:
             return None
-        self._load_by_version[version] = picked.in_flight
         return self._engine_by_host[picked.host]
 
     def _unlist(self, lost: list[FakeEngine]) -> None:
--- a/tools/standins/__main__.py
+++ b/tools/standins/__main__.py
@@ -8,12 +8,14 @@
 from tools.standins.hosts import HostServer
 from tools.standins.log import LogServer
 from tools.standins.plain import PlainServer
+from tools.standins.rating import RatingServer
 
 server_by_kind = {
     'log': LogServer,
     'hosts': HostServer,
     'engine': EngineServer,
     'plain': PlainServer,
+    'rating': RatingServer,
 }
 
 
