--- a/marigoldhoist/components/routing/cascades.py
+++ b/marigoldhoist/components/routing/cascades.py
@@ -9,11 +9,8 @@
 from collections.abc import Callable, Container, Iterable, Mapping
 from typing import Final
 
-import xxhash
-
 from marigoldhoist.components.quality.book import QualityBook
 from marigoldhoist.components.quality.cells import Observation
-from marigoldhoist.components.routing.const import HASH_RANGE
 from marigoldhoist.components.routing.knowledge import LearntKnowledge
 from marigoldhoist.components.routing.margins import Margins
 from marigoldhoist.components.routing.mixes import TaskMixes
@@ -27,6 +24,7 @@
     Start,
     Usable,
 )
+from marigoldhoist.components.routing.shares import is_within_share
 from marigoldhoist.components.routing.times import VersionTimes
 
 TOKENS_PER_COST: Final = 1000
@@ -265,16 +263,6 @@
     return is_usable
 
 
-def is_within_share(key: str, version: str, share: float) -> bool:
-    """Tell whether a request is among those a version may take.
-
-    Every daemon answers alike for one key, and a share that grows keeps
-    the requests it had.
-    """
-    digest = xxhash.xxh3_64_intdigest(f'{version}\0{key}'.encode())
-    return digest < share * HASH_RANGE
-
-
 def _wait_limit_s(goal: Goal, start: Start) -> float:
     """Return the longest wait; a held answer must come well before."""
     share = 1 if start.is_streamed else HELD_WAIT_SHARE
--- a/marigoldhoist/components/routing/live.py
+++ b/marigoldhoist/components/routing/live.py
@@ -85,6 +85,10 @@
             if known is None or known.cost_by_version != costs:
                 known = _renewed(known, costs)
                 self._cascade_by_model[model] = known
+        roll_out = row.roll_out
+        known.policy.share_by_version = (
+            {} if roll_out is None else {roll_out.version: roll_out.share}
+        )
         return known
 
     def observe(self, observations: Iterable[Observation]) -> None:
--- a/marigoldhoist/components/routing/service.py
+++ b/marigoldhoist/components/routing/service.py
@@ -24,6 +24,7 @@
 from marigoldhoist.components.routing.versions import (
     pick_by_weight,
     usable_weights,
+    within_roll_out,
 )
 from marigoldhoist.components.routing.waits import least_load
 from marigoldhoist.components.table.const import COMPONENT as TABLE
@@ -66,13 +67,14 @@
             model,
             usable_weights(self._table.state, request.workspace, model),
         )
+        key = request.session or request.request_id
+        weights = within_roll_out(self._table.state.model(model), weights, key)
         if not weights:
             return Err(
                 RequestFailure(
                     ErrorCode.NO_VERSION, f'no version of {model} takes work'
                 )
             )
-        key = request.session or request.request_id
         return Ok(pick_by_weight(weights, key))
 
     def cascade(self, request: CallerRequest) -> ModelCascade | None:
--- a/marigoldhoist/components/routing/versions.py
+++ b/marigoldhoist/components/routing/versions.py
@@ -1,9 +1,11 @@
 """Share a model's traffic between its versions by weight."""
 
+from marigoldhoist.components.routing.shares import is_within_share
+from marigoldhoist.components.table.models import ModelRow
 from marigoldhoist.components.table.state import TableState
 from marigoldhoist.core.rendezvous import pick_by_weight
 
-__all__ = ('pick_by_weight', 'usable_weights')
+__all__ = ('pick_by_weight', 'usable_weights', 'within_roll_out')
 
 
 def usable_weights(
@@ -21,3 +23,19 @@
         and workspace_row.allows(model, version)
         and state.takes_work(model, version)
     }
+
+
+def within_roll_out(
+    model: ModelRow | None, weights: dict[str, int], key: str
+) -> dict[str, int]:
+    """Return the weights without a rolled out version beyond its share."""
+    roll_out = model.roll_out if model else None
+    if roll_out is None:
+        return weights
+    if is_within_share(key, roll_out.version, roll_out.share):
+        return weights
+    return {
+        version: weight
+        for version, weight in weights.items()
+        if version != roll_out.version
+    }
--- a/marigoldhoist/components/table/models.py
+++ b/marigoldhoist/components/table/models.py
@@ -31,6 +31,9 @@
 RowKey = Annotated[str, msgspec.Meta(pattern='^[a-z]+/.{1,200}$')]
 
 
+PER_CENT = 100
+
+
 class VersionState(enum.Enum):
     """Whether a version takes work."""
 
@@ -68,6 +71,44 @@
         return EVERY_VERSION in allowed or version in allowed
 
 
+class RollOutState(enum.Enum):
+    """Whether a roll-out goes on by itself."""
+
+    RUNNING = 'running'
+    STOPPED = 'stopped'
+    REVERTED = 'reverted'
+    DONE = 'done'
+
+
+Step = Annotated[int, msgspec.Meta(ge=1, le=100)]
+
+
+class RollOut(Row, frozen=True):
+    """A version that is brought in by steps, in per cent of the requests.
+
+    A step is left after its dwell time and its least number of answers; one
+    that lacks answers for ten dwell times stops the roll-out.
+    """
+
+    version: Name
+    steps: Annotated[tuple[Step, ...], msgspec.Meta(min_length=1)]
+    dwell_ms: Milliseconds = 600_000
+    least_answers: Annotated[int, msgspec.Meta(ge=0)] = 200
+    state: RollOutState = RollOutState.RUNNING
+    step: Annotated[int, msgspec.Meta(ge=0)] = 0
+    since_ms: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+    @property
+    def share(self) -> float:
+        """Return the share of the requests that the version may take."""
+        match self.state:
+            case RollOutState.DONE:
+                return 1
+            case RollOutState.REVERTED:
+                return 0
+        return self.steps[min(self.step, len(self.steps) - 1)] / PER_CENT
+
+
 class ModelRow(Row, frozen=True):
     """How a model's traffic is shared between its versions.
 
@@ -76,6 +117,7 @@
 
     weights_by_version: dict[str, Share]
     cascade: tuple[str, ...] = ()
+    roll_out: RollOut | None = None
 
 
 class VersionRow(Row, frozen=True):
--- a/marigoldhoist/components/table/validation.py
+++ b/marigoldhoist/components/table/validation.py
@@ -71,6 +71,19 @@
     for version in (*row.weights_by_version, *row.cascade):
         if f'{VERSION}/{name}/{version}' not in rows_by_key:
             yield f'{MODEL}/{name}: unknown version {version!r}'
+    yield from _roll_out_faults(name, row)
+
+
+def _roll_out_faults(name: str, row: ModelRow) -> Iterator[str]:
+    roll_out = row.roll_out
+    if roll_out is None:
+        return
+    if roll_out.version not in (*row.weights_by_version, *row.cascade):
+        yield f'{MODEL}/{name}: rolled out version has no weight'
+    if list(roll_out.steps) != sorted(set(roll_out.steps)):
+        yield f'{MODEL}/{name}: steps of the roll-out must rise'
+    if roll_out.step >= len(roll_out.steps):
+        yield f'{MODEL}/{name}: the roll-out has no step {roll_out.step}'
 
 
 def _workspace_faults(
--- a/tests/components/routing/test_cascades.py
+++ b/tests/components/routing/test_cascades.py
@@ -7,7 +7,6 @@
     Ask,
     CascadePolicy,
     Goal,
-    is_within_share,
 )
 from marigoldhoist.components.routing.knowledge import KnownQuality
 from marigoldhoist.components.routing.plans import (
@@ -16,6 +15,7 @@
     Worth,
     expected,
 )
+from marigoldhoist.components.routing.shares import is_within_share
 
 MIX = {'tags': 0.6, 'quotes': 0.4}
 KNOWN = KnownQuality(
