--- a/tools/reference/settings.py
+++ b/tools/reference/settings.py
@@ -1,5 +1,6 @@
 """The reference of settings."""
 
+import inspect
 from typing import Any
 
 import msgspec
@@ -26,7 +27,7 @@
 
 
 def _section(name: str, section: type[msgspec.Struct]) -> str:
-    described = (section.__doc__ or '').strip()
+    described = inspect.cleandoc(section.__doc__ or '')
     schema = msgspec.json.schema(section)['$defs'][section.__name__]
     required = schema.get('required', ())
     rows = (
