Copy bills to peers, hand them over at a stop, link few per domain

Cause: bills lay at one host until the log had them, a planned stop in a log outage dropped them, and every daemon linked to every other.

Change: each bill is copied to two peers, one in another failure domain, before the answer ends; holders append a dead owner's. The kernel hands over after all components have drained. Peers say farewell; links are full within a domain and few between; a silent link is dialled afresh before its peer is called down. `marigoldhoist bills` folds the stream.

Conclusion: stops and crashes in a log outage keep every bill with a peer linked.

--- /dev/null
+++ b/marigoldhoist/cli/bill_commands.py
@@ -0,0 +1,28 @@
+"""Commands on bills."""
+
+from typing import Any
+
+from marigoldhoist.cli.client import OperatorClient
+from marigoldhoist.cli.tables import print_json
+
+
+def show_bills(as_json: bool) -> None:
+    """Print the totals of the bills that the log keeps."""
+    report = OperatorClient().get('/bills')
+    if as_json:
+        print_json(report)
+        return
+    print_totals(report)
+
+
+def print_totals(report: dict[str, Any]) -> None:
+    """Print a line for each workspace and version."""
+    print(f'offsets {report["first_offset"]} to {report["next_offset"]}')
+    print(f'second copies passed over: {report["second_copies"]}')
+    print(f'{"workspace":20} {"serving":32} bills   cut   tokens       cost')
+    for total in report['totals']:
+        print(
+            f'{total["workspace"]:20} {total["serving"]:32}'
+            f' {total["bills"]:5} {total["cut"]:5} {total["tokens"]:8}'
+            f' {total["cost"]:10.4f}'
+        )
--- a/marigoldhoist/cli/commands.py
+++ b/marigoldhoist/cli/commands.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from marigoldhoist import __version__
+from marigoldhoist.cli.bill_commands import show_bills
 from marigoldhoist.cli.client import OperatorClient
 from marigoldhoist.cli.fleet_commands import print_fleet
 from marigoldhoist.cli.table_commands import TableCommands, print_audit
@@ -54,6 +55,10 @@
         fleet = OperatorClient().get('/fleet')
         _show(fleet, json, print_fleet)
 
+    def bills(self, json: bool = False) -> None:
+        """Show what each workspace was billed for each version."""
+        show_bills(json)
+
     def audit(self, json: bool = False) -> None:
         """Show what became of each change to the table."""
         _show(OperatorClient().get('/audit'), json, print_audit)
--- /dev/null
+++ b/marigoldhoist/components/bill_report/const.py
@@ -0,0 +1,6 @@
+"""Constants of the bill_report component."""
+
+from typing import Final
+
+COMPONENT: Final = 'bill_report'
+BILLS_ROUTE: Final = 'GET /bills'
--- /dev/null
+++ b/marigoldhoist/components/bill_report/service.py
@@ -0,0 +1,35 @@
+"""The bill report service."""
+
+from marigoldhoist.components.bill_report.const import BILLS_ROUTE
+from marigoldhoist.components.billing.fold import read_report
+from marigoldhoist.components.operator.app import (
+    UNAVAILABLE,
+    Page,
+    error_page,
+    json_page,
+)
+from marigoldhoist.components.operator.const import COMPONENT as OPERATOR
+from marigoldhoist.components.operator.service import OperatorService
+from marigoldhoist.components.platform_log.const import COMPONENT as LOG
+from marigoldhoist.components.platform_log.errors import (
+    LogRefusedError,
+    LogUnavailableError,
+)
+from marigoldhoist.components.platform_log.service import LogService
+from marigoldhoist.core.kernel import BaseService, Kernel
+
+
+class BillReportService(BaseService):
+    """Folds the bill stream anew for each question."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._log = kernel.find(LOG, LogService)
+        operator = kernel.find(OPERATOR, OperatorService)
+        operator.app.add(BILLS_ROUTE, self._show)
+
+    def _show(self, _body: bytes) -> Page:
+        try:
+            report = read_report(self._log.client)
+        except (LogUnavailableError, LogRefusedError) as error:
+            return error_page(str(error), UNAVAILABLE)
+        return json_page(report)
--- a/marigoldhoist/components/billing/models.py
+++ b/marigoldhoist/components/billing/models.py
@@ -32,7 +32,40 @@
     return f'bill-{hashlib.sha256(name).hexdigest()[:32]}'
 
 
+class BillBatch(msgspec.Struct, frozen=True):
+    """Bills on their way to a peer."""
+
+    bills: tuple[Bill, ...]
+
+
+class ConfirmedBills(msgspec.Struct, frozen=True):
+    """Record ids of bills that are on the log, so that copies may go."""
+
+    record_ids: tuple[str, ...]
+
+
 class BillingStatus(msgspec.Struct, frozen=True):
-    """Bills that are not on the log yet."""
+    """Bills that are not on the log yet, and copies of others' bills."""
 
     unshipped: int
+    held_copies: int
+
+
+class BillTotal(msgspec.Struct, frozen=True):
+    """What a workspace was billed for one version or plain service."""
+
+    workspace: str
+    serving: str
+    bills: int
+    cut: int
+    tokens: int
+    cost: float
+
+
+class BillReport(msgspec.Struct, frozen=True):
+    """Totals of the bills that the log keeps, from an offset on."""
+
+    first_offset: int
+    next_offset: int
+    second_copies: int
+    totals: tuple[BillTotal, ...]
--- a/marigoldhoist/components/claims/const.py
+++ b/marigoldhoist/components/claims/const.py
@@ -6,6 +6,7 @@
 
 CLAIM_KIND: Final = 'claim'
 OUTCOME_KIND: Final = 'claim.outcome'
+HAND_OVER_TOPIC: Final = 'claims.hand_over'
 STAGE_ORDER: Final = 40
 
 FUTURE_TOLERANCE_MS: Final = 60_000
--- a/marigoldhoist/components/claims/service.py
+++ b/marigoldhoist/components/claims/service.py
@@ -1,11 +1,18 @@
 """The claim service."""
 
-from marigoldhoist.components.claims.const import COMPONENT, STAGE_ORDER
+from marigoldhoist.components.claims.const import (
+    COMPONENT,
+    HAND_OVER_TOPIC,
+    STAGE_ORDER,
+)
 from marigoldhoist.components.claims.models import ClaimStatus
 from marigoldhoist.components.claims.settings import ClaimSettings
 from marigoldhoist.components.claims.stage import ClaimStage
 from marigoldhoist.components.dispatch.const import COMPONENT as DISPATCH
 from marigoldhoist.components.dispatch.service import DispatchService
+from marigoldhoist.components.peers.const import COMPONENT as PEERS
+from marigoldhoist.components.peers.handover import RecordHandover
+from marigoldhoist.components.peers.service import PeerService
 from marigoldhoist.components.platform_log.const import COMPONENT as LOG
 from marigoldhoist.components.platform_log.const import WORK_STREAM
 from marigoldhoist.components.platform_log.service import LogService
@@ -22,6 +29,9 @@
         log = kernel.find(LOG, LogService)
         feed = log.feeds_by_stream[WORK_STREAM]
         self._writer = WorkWriter(kernel, log, WORK_STREAM)
+        self._handover = RecordHandover(
+            kernel, HAND_OVER_TOPIC, kernel.find(PEERS, PeerService)
+        )
         self.stage = ClaimStage(
             kernel.settings.section(DaemonSettings).host,
             kernel.settings.section(ClaimSettings),
@@ -36,8 +46,13 @@
 
     def start(self) -> None:
         """Begin to append claims and outcomes."""
+        self._handover.accept(self._writer)
         self._kernel.spawn('claims', self._writer.run)
 
+    def hand_over(self) -> None:
+        """Append the last outcomes, or give them to a peer."""
+        self._handover.give(self._writer)
+
     def status(self) -> ClaimStatus:
         """Return what operators see of the claims."""
         fold = self.stage.fold
--- a/marigoldhoist/components/peers/events.py
+++ b/marigoldhoist/components/peers/events.py
@@ -12,6 +12,9 @@
     'warning',
     'A caller on the peer port did not prove the shared key.',
 )
+PEER_LEAVING = declare_event(
+    1405, 'peer_leaving', 'info', 'A peer says that it is stopping.'
+)
 HANDLER_FAILED = declare_event(
     1404, 'handler_failed', 'error', 'The handler of a peer topic failed.'
 )
--- a/marigoldhoist/components/peers/link.py
+++ b/marigoldhoist/components/peers/link.py
@@ -40,6 +40,7 @@
         self._outbox: asyncio.Queue[Frame] = asyncio.Queue(OUTBOX_FRAMES)
         self._reply_by_call: dict[int, asyncio.Future[bytes]] = {}
         self._calls = 0
+        self._is_closed = False
         self.peer = ''
 
     def send(self, topic: str, payload: bytes) -> bool:
@@ -48,6 +49,8 @@
 
     async def call(self, topic: str, payload: bytes) -> bytes:
         """Send a message and await its reply."""
+        if self._is_closed:
+            raise LinkError('link is down')
         self._calls += 1
         call_id = self._calls
         waiting: asyncio.Future[bytes] = asyncio.Future()
@@ -141,6 +144,7 @@
         return True
 
     def _fail_calls(self) -> None:
+        self._is_closed = True
         for waiting in self._reply_by_call.values():
             if not waiting.done():
                 waiting.set_exception(LinkError('link is down'))
--- a/marigoldhoist/components/peers/listener.py
+++ b/marigoldhoist/components/peers/listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+from collections.abc import Callable
 
 import grpclib.server
 import msgspec
@@ -31,11 +32,16 @@
     """Serves one task for each link that a peer dials."""
 
     def __init__(
-        self, daemon: DaemonSettings, shared_key: bytes, topics: Topics
+        self,
+        daemon: DaemonSettings,
+        shared_key: bytes,
+        topics: Topics,
+        on_greeted: Callable[[str], None],
     ) -> None:
         self._daemon = daemon
         self._shared_key = shared_key
         self._topics = topics
+        self._on_greeted = on_greeted
 
     async def Exchange(self, stream: PeerStream) -> None:
         """Greet the dialer, then handle its messages until it is silent."""
@@ -46,7 +52,11 @@
         except (LinkError, TimeoutError, msgspec.MsgspecError) as error:
             emit(PEER_REFUSED, error=str(error))
             return
-        await self._serve(stream, seal, peer)
+        self._on_greeted(peer)
+        try:
+            await self._serve(stream, seal, peer)
+        except LinkError as forged:
+            emit(PEER_REFUSED, peer=peer, error=str(forged))
 
     async def _greet(self, stream: PeerStream, seal: Seal) -> str:
         frame = await stream.recv_message()
--- a/marigoldhoist/components/peers/models.py
+++ b/marigoldhoist/components/peers/models.py
@@ -1,5 +1,7 @@
 """Messages of the peers component itself."""
 
+import dataclasses
+
 import msgspec
 
 
@@ -18,6 +20,15 @@
 
 
 class PeerStatus(msgspec.Struct, frozen=True):
-    """Hosts with an open link."""
+    """Hosts with an open link, and which of them are leaving."""
 
     linked: tuple[str, ...]
+    leaving: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Peer:
+    """A daemon with an open link."""
+
+    host: str
+    failure_domain: str
--- a/marigoldhoist/components/peers/service.py
+++ b/marigoldhoist/components/peers/service.py
@@ -1,25 +1,27 @@
 """The peer service: who is linked, and messages to them."""
 
-import asyncio
-import dataclasses
 from collections.abc import Iterable
 
 from grpclib.server import Server
 from result import Err, Ok, Result
 
 from marigoldhoist.components.hosts.const import COMPONENT as HOSTS
-from marigoldhoist.components.hosts.models import HostEntry, HostRole
+from marigoldhoist.components.hosts.models import (
+    HostState,
+)
 from marigoldhoist.components.hosts.service import HostService
 from marigoldhoist.components.peers.const import (
-    DIAL_PAUSE_S,
-    SCAN_INTERVAL_S,
+    FAREWELL_INTERVAL_S,
+    LEAVING_TOPIC,
 )
+from marigoldhoist.components.peers.dialer import Dialer
 from marigoldhoist.components.peers.errors import CallFailure, LinkError
-from marigoldhoist.components.peers.events import PEER_DOWN, PEER_UP
-from marigoldhoist.components.peers.link import Link
+from marigoldhoist.components.peers.events import (
+    PEER_LEAVING,
+)
 from marigoldhoist.components.peers.listener import Listener
 from marigoldhoist.components.peers.loop import LoopThread
-from marigoldhoist.components.peers.models import PeerStatus
+from marigoldhoist.components.peers.models import Peer, PeerStatus
 from marigoldhoist.components.peers.settings import PeerSettings
 from marigoldhoist.components.peers.topics import Handler, Topics
 from marigoldhoist.core.events import emit
@@ -29,14 +31,6 @@
 STOP_TIMEOUT_S = 3.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Peer:
-    """A daemon with an open link."""
-
-    host: str
-    failure_domain: str
-
-
 class PeerService(BaseService):
     """Dials the daemons of the host list and carries topics between them."""
 
@@ -48,17 +42,21 @@
         self._key = self._settings.read_key()
         self._topics = Topics()
         self._loop = LoopThread('peers')
-        self._link_by_host: dict[str, Link] = {}
-        self._dial_by_host: dict[str, asyncio.Task[None]] = {}
+        self._dialer = Dialer(
+            self._daemon, self._settings, self._hosts, self._key
+        )
+        self._farewells: set[str] = set()
 
     def start(self) -> None:
         """Listen for peers and begin to dial them."""
+        self.subscribe(LEAVING_TOPIC, self._on_leaving)
         self._loop.start()
         self._loop.submit(self._listen()).result(STOP_TIMEOUT_S)
 
     def ready(self) -> None:
         """Dial peers, now that every topic has its handler."""
-        self._loop.submit(self._scan())
+        self._loop.submit(self._dialer.run())
+        self._kernel.spawn('peers-farewell', self._say_farewell)
 
     def stop(self) -> None:
         """Close every link."""
@@ -66,7 +64,11 @@
 
     def status(self) -> PeerStatus:
         """Return what operators see of the links."""
-        return PeerStatus(tuple(peer.host for peer in self.live()))
+        linked = tuple(peer.host for peer in self.live())
+        staying = {peer.host for peer in self.takers()}
+        return PeerStatus(
+            linked, tuple(host for host in linked if host not in staying)
+        )
 
     def subscribe(self, topic: str, handler: Handler) -> None:
         """Handle messages of a topic; the handler must not block."""
@@ -77,10 +79,22 @@
         hosts_by_name = self._hosts.hosts_by_name
         return tuple(
             Peer(host, hosts_by_name[host].failure_domain)
-            for host in sorted(self._link_by_host)
+            for host in sorted(self._dialer.link_by_host)
             if host in hosts_by_name
         )
 
+    def takers(self) -> tuple[Peer, ...]:
+        """Return the linked peers that are not leaving.
+
+        A peer leaves when it said so itself or the host list shows it.
+        """
+        return tuple(
+            peer
+            for peer in self.live()
+            if peer.host not in self._farewells
+            and self._is_listed_live(peer.host)
+        )
+
     def publish(
         self, topic: str, payload: bytes, hosts: Iterable[str] | None = None
     ) -> None:
@@ -94,7 +108,7 @@
         self, host: str, topic: str, payload: bytes, timeout_s: float
     ) -> Result[bytes, CallFailure]:
         """Send to one peer and wait for its reply."""
-        link = self._link_by_host.get(host)
+        link = self._dialer.link_by_host.get(host)
         if link is None:
             return Err(CallFailure(f'no link to {host}'))
         waiting = self._loop.submit(link.call(topic, payload))
@@ -107,43 +121,30 @@
     def _publish_now(
         self, topic: str, payload: bytes, hosts: tuple[str, ...] | None
     ) -> None:
-        chosen = tuple(self._link_by_host) if hosts is None else hosts
+        chosen = tuple(self._dialer.link_by_host) if hosts is None else hosts
         for host in chosen:
-            link = self._link_by_host.get(host)
+            link = self._dialer.link_by_host.get(host)
             if link is not None:
                 link.send(topic, payload)
 
     async def _listen(self) -> None:
-        listener = Listener(self._daemon, self._key, self._topics)
+        listener = Listener(
+            self._daemon, self._key, self._topics, self._farewells.discard
+        )
         server = Server([listener])
         await server.start(self._daemon.address, self._settings.port)
 
-    async def _scan(self) -> None:
-        while True:
-            for entry in self._hosts.with_role(HostRole.DAEMON):
-                if entry.host == self._daemon.host:
-                    continue
-                if entry.host not in self._dial_by_host:
-                    self._dial_by_host[entry.host] = asyncio.create_task(
-                        self._keep_link(entry.host)
-                    )
-            await asyncio.sleep(SCAN_INTERVAL_S)
-
-    async def _keep_link(self, host: str) -> None:
-        while True:
-            entry = self._hosts.hosts_by_name.get(host)
-            if entry is None:
-                self._dial_by_host.pop(host, None)
-                return
-            await self._hold_link(entry)
-            await asyncio.sleep(DIAL_PAUSE_S)
-
-    async def _hold_link(self, entry: HostEntry) -> None:
-        link = Link(self._daemon, self._key)
-        try:
-            async for peer in link.open(entry.address, entry.port):
-                self._link_by_host[peer] = link
-                emit(PEER_UP, peer=peer)
-        except (LinkError, TimeoutError) as error:
-            if self._link_by_host.pop(entry.host, None) is not None:
-                emit(PEER_DOWN, peer=entry.host, error=str(error))
+    def _is_listed_live(self, host: str) -> bool:
+        entry = self._hosts.hosts_by_name.get(host)
+        return entry is not None and entry.state is HostState.LIVE
+
+    def _on_leaving(self, sender: str, _payload: bytes) -> None:
+        if sender not in self._farewells:
+            emit(PEER_LEAVING, peer=sender)
+        self._farewells.add(sender)
+
+    def _say_farewell(self) -> None:
+        self._kernel.draining.wait()
+        while not self._kernel.stopping.is_set():
+            self.publish(LEAVING_TOPIC, b'')
+            self._kernel.stopping.wait(FAREWELL_INTERVAL_S)
--- a/marigoldhoist/components/peers/settings.py
+++ b/marigoldhoist/components/peers/settings.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+from typing import Annotated
 
 import msgspec
 
@@ -14,9 +15,14 @@
 
 @settings_section('peers')
 class PeerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The peer port, and where the key that all daemons share is kept."""
+    """The peer port, and where the key that all daemons share is kept.
+
+    Every daemon dials all others of its failure domain, and a few of each
+    other domain.
+    """
 
     port: Port = 7200
+    links_per_foreign_domain: Annotated[int, msgspec.Meta(ge=1, le=64)] = 2
     key_file: str = ''
     key_variable: str = 'MARIGOLDHOIST_PEER_KEY'
 
--- a/marigoldhoist/components/sessions/service.py
+++ b/marigoldhoist/components/sessions/service.py
@@ -4,6 +4,7 @@
 from result import Ok
 
 from marigoldhoist.components.peers.const import COMPONENT as PEERS
+from marigoldhoist.components.peers.handover import RecordHandover
 from marigoldhoist.components.peers.service import PeerService
 from marigoldhoist.components.peers.settings import PeerSettings
 from marigoldhoist.components.platform_log.const import COMPONENT as LOG
@@ -18,6 +19,7 @@
     ASKED_PEERS,
     COMPONENT,
     FIND_TOPIC,
+    HAND_OVER_TOPIC,
     PINS_TOPIC,
 )
 from marigoldhoist.components.sessions.models import (
@@ -74,6 +76,7 @@
         self._peers = kernel.find(PEERS, PeerService)
         feed = log.feeds_by_stream[WORK_STREAM]
         self._writer = WorkWriter(kernel, log, WORK_STREAM)
+        self._handover = RecordHandover(kernel, HAND_OVER_TOPIC, self._peers)
         gossip = PeerGossip(self._peers, daemon.failure_domain)
         self.pins = Pins(settings, feed, self._writer, gossip)
         feed.add_fold(self.pins.apply)
@@ -91,8 +94,13 @@
         """Answer peers and begin to append pins."""
         self._peers.subscribe(PINS_TOPIC, self._on_pin)
         self._peers.subscribe(FIND_TOPIC, self._on_find)
+        self._handover.accept(self._writer)
         self._kernel.spawn('sessions', self._writer.run)
 
+    def hand_over(self) -> None:
+        """Append the last pins, or give them to a peer."""
+        self._handover.give(self._writer)
+
     def status(self) -> SessionStatus:
         """Return what operators see of the sessions."""
         return SessionStatus(len(self.pins.fold), self.pins.unlogged)
--- a/marigoldhoist/core/kernel.py
+++ b/marigoldhoist/core/kernel.py
@@ -38,7 +38,10 @@
         """Begin work that needs every component to be started."""
 
     def drain(self) -> None:
-        """Finish or hand over what is in flight; new work is refused."""
+        """Finish what is in flight; new work is refused."""
+
+    def hand_over(self) -> None:
+        """Give to others what must outlive this daemon."""
 
     def stop(self) -> None:
         """End background work."""
@@ -57,7 +60,10 @@
         """Begin work that needs every component to be started."""
 
     def drain(self) -> None:
-        """Finish or hand over what is in flight."""
+        """Finish what is in flight."""
+
+    def hand_over(self) -> None:
+        """Give to others what must outlive this daemon."""
 
     def stop(self) -> None:
         """End background work."""
@@ -144,11 +150,17 @@
             started.ready()
 
     def stop(self) -> None:
-        """Drain, then stop, in the reverse of the start order."""
+        """Drain, hand over, then stop, in the reverse of the start order.
+
+        Nothing is handed over before every service has drained, so that what
+        the last requests leave behind goes along.
+        """
         self.draining.set()
         services = list(reversed(self.services_by_name.items()))
         for _, draining in services:
             draining.drain()
+        for _, leaving in services:
+            leaving.hand_over()
         self.stopping.set()
         for name, stopping in services:
             stopping.stop()
--- /dev/null
+++ b/tests/whole/test_stop.py
@@ -0,0 +1,130 @@
+"""Planned stops and crashes of whole daemons."""
+
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from marigoldhoist.components.billing.const import COMPONENT as BILLING
+from marigoldhoist.components.billing.fold import BillFold
+from marigoldhoist.components.billing.service import BillingService
+from marigoldhoist.components.peers.const import COMPONENT as PEERS
+from marigoldhoist.components.peers.service import PeerService
+from marigoldhoist.components.platform_log.const import BILL_STREAM
+from tools.standins.log import LogFaults
+from tools.world.caller import Caller, CallerReply
+from tools.world.samples import WORKSPACE_KEY
+from tools.world.world import World, wait_until
+
+SMALL = 'pult-model/small'
+LARGE = 'pult-model/large'
+HOSTS = ('entry-1', 'entry-2', 'entry-3')
+
+
+@pytest.fixture
+def world() -> Iterator[World]:
+    """Start three linked daemons, two of them in one failure domain."""
+    with World() as started:
+        started.add_engine(
+            'engine-1', 'zg-trnje', SMALL, LARGE, token_time_s=0.02
+        )
+        started.add_daemon('entry-1', 'zg-trnje')
+        started.add_daemon('entry-2', 'zg-trnje')
+        started.add_daemon('entry-3', 'zg-dubrava')
+        wait_until(lambda: are_linked(started), 'every link')
+        wait_until(lambda: do_all_answer(started), 'answers')
+        wait_until(lambda: not unshipped(started), 'the first bills')
+        yield started
+
+
+def are_linked(world: World) -> bool:
+    """Tell whether every daemon has links to all others."""
+    others = len(world.kernels_by_host) - 1
+    return all(
+        len(kernel.find(PEERS, PeerService).takers()) == others
+        for kernel in world.kernels_by_host.values()
+    )
+
+
+def do_all_answer(world: World) -> bool:
+    """Tell whether every daemon answers."""
+    return all(chat(world, host).status == 200 for host in HOSTS)
+
+
+def chat(world: World, host: str, tokens: int = 2) -> CallerReply:
+    """Ask a model."""
+    caller = Caller(world.address_of(host), WORKSPACE_KEY)
+    return caller.chat(max_tokens=tokens)
+
+
+def unshipped(world: World) -> int:
+    """Return how many bills are not on the log yet."""
+    return sum(
+        kernel.find(BILLING, BillingService).unshipped
+        for kernel in world.kernels_by_host.values()
+    )
+
+
+def billed(world: World) -> int:
+    """Return how many bills the log has, each counted once."""
+    fold = BillFold()
+    for entry in world.log.store.entries(BILL_STREAM):
+        fold.apply(entry)
+    return sum(total.bills for total in fold.totals())
+
+
+class TestPlannedStop:
+    """A planned stop cuts no request and loses no bill."""
+
+    def test_two_at_once_with_streams_in_flight(self, world: World) -> None:
+        before = billed(world)
+        stopping = ('entry-1', 'entry-2')
+        addresses = {host: world.address_of(host) for host in stopping}
+        with ThreadPoolExecutor(8) as pool:
+            streams = [
+                pool.submit(
+                    Caller(addresses[host], WORKSPACE_KEY).chat, max_tokens=60
+                )
+                for host in stopping * 2
+            ]
+            wait_until(
+                lambda: world.engines_by_host['engine-1'].running >= 4,
+                'streams',
+            )
+            list(pool.map(world.stop_daemon, stopping))
+            replies = [stream.result() for stream in streams]
+        assert all(reply.is_whole_stream for reply in replies)
+        assert billed(world) == before + len(replies)
+
+    def test_in_a_log_outage(self, world: World) -> None:
+        before = billed(world)
+        world.set_log_faults(LogFaults(is_down=True))
+        assert chat(world, 'entry-1').status == 200
+        world.stop_daemon('entry-1')
+        assert unshipped(world) >= 1
+        world.set_log_faults(LogFaults())
+        wait_until(lambda: billed(world) == before + 1, 'the bill')
+
+    def test_peers_hear_of_it_at_once(self, world: World) -> None:
+        kernel = world.kernels_by_host['entry-3']
+        peers = kernel.find(PEERS, PeerService)
+        leaving = world.kernels_by_host['entry-1']
+        leaving.draining.set()
+        wait_until(
+            lambda: {one.host for one in peers.takers()} == {'entry-2'},
+            'the farewell',
+        )
+        assert peers.status().leaving == ('entry-1',)
+
+
+class TestCrash:
+    """A daemon that is killed leaves its bills to its peers."""
+
+    def test_bills_of_a_dead_owner(self, world: World) -> None:
+        before = billed(world)
+        world.set_log_faults(LogFaults(is_down=True))
+        assert chat(world, 'entry-1').status == 200
+        world.crash_daemon('entry-1')
+        for host in ('entry-2', 'entry-3'):
+            world.set_log_faults(LogFaults(), host)
+        wait_until(lambda: billed(world) == before + 1, 'the bill')
--- a/tools/standins/engine.py
+++ b/tools/standins/engine.py
@@ -60,6 +60,11 @@
         self._running = 0
         self.server = WebServer(address, port, self.handle, threads=64)
 
+    @property
+    def running(self) -> int:
+        """Return how many answers are under way."""
+        return self._running
+
     def handle(self, request: WebRequest) -> WebReply:
         """Answer one request."""
         match request.path:
--- a/tools/world/samples.py
+++ b/tools/world/samples.py
@@ -64,6 +64,7 @@
         'hosts': {'url': f'http://{platform}:7001', 'poll_interval_s': 0.2},
         'entry': {'balancer_grace_s': 0.2} | (entry or {}),
         'operator': {'key_digests': [digest_of(OPERATOR_KEY)]},
+        'billing': {'owner_dead_s': 1.0, 'hand_over_timeout_s': 5.0},
         'peers': {'key_variable': 'MARIGOLDHOIST_PEER_KEY'},
     }
     return json.dumps(sections)
--- a/tools/world/world.py
+++ b/tools/world/world.py
@@ -139,6 +139,15 @@
         self.kernels_by_host.pop(host).stop()
         self.unlist_host(host)
 
+    def crash_daemon(self, host: str) -> None:
+        """End a daemon as a kill does: nothing is finished or handed over."""
+        kernel = self.kernels_by_host.pop(host)
+        self.log_by_host[host].faults = LogFaults(is_down=True)
+        kernel.stopping.set()
+        for service in kernel.services_by_name.values():
+            service.stop()
+        self.unlist_host(host)
+
     def address_of(self, host: str) -> str:
         """Return a host's address."""
         return self._entries_by_host[host].address
