--- a/marigoldhoist/components/peers/listener.py
+++ b/marigoldhoist/components/peers/listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 from collections.abc import Callable
+from typing import Final
 
 import grpclib.server
 import msgspec
@@ -25,6 +26,8 @@
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.identity import DaemonSettings
 
+AFTER_HELLO: Final = 2
+
 PeerStream = grpclib.server.Stream[Frame, Frame]
 
 
@@ -36,12 +39,12 @@
         daemon: DaemonSettings,
         shared_key: bytes,
         topics: Topics,
-        on_greeted: Callable[[str], None],
+        on_proven: Callable[[str], None],
     ) -> None:
         self._daemon = daemon
         self._shared_key = shared_key
         self._topics = topics
-        self._on_greeted = on_greeted
+        self._on_proven = on_proven
 
     async def Exchange(self, stream: PeerStream) -> None:
         """Greet the dialer, then handle its messages until it is silent."""
@@ -52,7 +55,6 @@
         except (LinkError, TimeoutError, msgspec.MsgspecError) as error:
             emit(PEER_REFUSED, error=str(error))
             return
-        self._on_greeted(peer)
         try:
             await self._serve(stream, seal, peer)
         except LinkError as forged:
@@ -81,6 +83,9 @@
             if frame is None:
                 return
             seal.check(frame, FROM_DIALER)
+            if frame.sequence == AFTER_HELLO:
+                # Only now is the hello known not to be a replayed one.
+                self._on_proven(peer)
             reply = self._reply_to(frame, peer)
             if reply is not None:
                 await stream.send_message(seal.sign(reply, FROM_LISTENER))
