--- a/marigoldhoist/components/peers/listener.py
+++ b/marigoldhoist/components/peers/listener.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import secrets
+from collections.abc import Callable
+from typing import Final
 
 import grpclib.server
 import msgspec
@@ -24,6 +26,8 @@
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.identity import DaemonSettings
 
+AFTER_HELLO: Final = 2
+
 PeerStream = grpclib.server.Stream[Frame, Frame]
 
 
@@ -31,11 +35,16 @@
     """Serves one task for each link that a peer dials."""
 
     def __init__(
-        self, daemon: DaemonSettings, shared_key: bytes, topics: Topics
+        self,
+        daemon: DaemonSettings,
+        shared_key: bytes,
+        topics: Topics,
+        on_proven: Callable[[str], None],
     ) -> None:
         self._daemon = daemon
         self._shared_key = shared_key
         self._topics = topics
+        self._on_proven = on_proven
 
     async def Exchange(self, stream: PeerStream) -> None:
         """Greet the dialer, then handle its messages until it is silent."""
@@ -46,7 +55,10 @@
         except (LinkError, TimeoutError, msgspec.MsgspecError) as error:
             emit(PEER_REFUSED, error=str(error))
             return
-        await self._serve(stream, seal, peer)
+        try:
+            await self._serve(stream, seal, peer)
+        except LinkError as forged:
+            emit(PEER_REFUSED, peer=peer, error=str(forged))
 
     async def _greet(self, stream: PeerStream, seal: Seal) -> str:
         frame = await stream.recv_message()
@@ -71,6 +83,9 @@
             if frame is None:
                 return
             seal.check(frame, FROM_DIALER)
+            if frame.sequence == AFTER_HELLO:
+                # Only now is the hello known not to be a replayed one.
+                self._on_proven(peer)
             reply = self._reply_to(frame, peer)
             if reply is not None:
                 await stream.send_message(seal.sign(reply, FROM_LISTENER))
--- a/marigoldhoist/components/routing/service.py
+++ b/marigoldhoist/components/routing/service.py
@@ -2,20 +2,32 @@
 
 import random
 from collections.abc import Container
+from typing import Protocol
 
 from result import Err, Ok, Result
 
-from marigoldhoist.components.routing.const import DEFAULT_SERVICE_TIME_S
+from marigoldhoist.components.quality.const import COMPONENT as QUALITY
+from marigoldhoist.components.quality.service import QualityService
+from marigoldhoist.components.routing.const import (
+    DEFAULT_SERVICE_TIME_S,
+    PLAN_INTERVAL_S,
+)
+from marigoldhoist.components.routing.holds import Holds
+from marigoldhoist.components.routing.live import LiveCascades, ModelCascade
 from marigoldhoist.components.routing.loads import LoadContext, replica_views
+from marigoldhoist.components.routing.near import NearReplicas
 from marigoldhoist.components.routing.replicas import (
     PickContext,
+    ReplicaView,
     pick_replica,
 )
 from marigoldhoist.components.routing.subsets import replica_subset
 from marigoldhoist.components.routing.versions import (
     pick_by_weight,
     usable_weights,
+    within_roll_out,
 )
+from marigoldhoist.components.routing.waits import least_load
 from marigoldhoist.components.table.const import COMPONENT as TABLE
 from marigoldhoist.components.table.service import TableService
 from marigoldhoist.components.upstreams.const import COMPONENT as UPSTREAMS
@@ -28,6 +40,16 @@
 from marigoldhoist.core.kernel import BaseService, Kernel
 
 
+class SessionVersions(Protocol):
+    """Keeps sessions on their versions."""
+
+    def choose(self, request: CallerRequest) -> Result[str, RequestFailure]:
+        """Return the version of the request's session."""
+
+    def token_of(self, request: CallerRequest) -> str:
+        """Return the token of the request's session, empty for none."""
+
+
 class RoutingService(BaseService):
     """Chooses versions by the table and replicas by load."""
 
@@ -37,22 +59,68 @@
         self._picking = PickContext(daemon.failure_domain, random.Random())
         self._table = kernel.find(TABLE, TableService)
         self._upstreams = kernel.find(UPSTREAMS, UpstreamService)
+        self._kernel = kernel
+        self._near = NearReplicas(self._subset)
+        self.cascades = LiveCascades()
+        self.holds = Holds()
+        kernel.find(QUALITY, QualityService).add_learner(self.cascades.observe)
+        self._sessions: SessionVersions | None = None
+
+    def ready(self) -> None:
+        """Begin to plan cascades."""
+        self._kernel.spawn('cascades', self._plan)
+
+    def pin_sessions(self, sessions: SessionVersions) -> None:
+        """Let sessions decide for the requests that name one."""
+        self._sessions = sessions
+
+    def session_token(self, request: CallerRequest) -> str:
+        """Return the token that pins the request's session, or none."""
+        return self._sessions.token_of(request) if self._sessions else ''
 
     def choose_version(
         self, request: CallerRequest
     ) -> Result[str, RequestFailure]:
         """Choose a version; the same session or request gets the same one."""
+        if request.session and self._sessions:
+            return self._sessions.choose(request)
         model = request.target
-        weights = usable_weights(self._table.state, request.workspace, model)
+        weights = self.holds.without_held(
+            model,
+            usable_weights(self._table.state, request.workspace, model),
+        )
+        key = request.session or request.request_id
+        weights = within_roll_out(self._table.state.model(model), weights, key)
         if not weights:
             return Err(
                 RequestFailure(
                     ErrorCode.NO_VERSION, f'no version of {model} takes work'
                 )
             )
-        key = request.session or request.request_id
         return Ok(pick_by_weight(weights, key))
 
+    def cascade(self, request: CallerRequest) -> ModelCascade | None:
+        """Return the cascade for a request; a session stays on one version."""
+        if request.session:
+            return None
+        return self.cascades.of(self._table.state, request.target)
+
+    def wait_s(self, request: CallerRequest, version: str) -> float | None:
+        """Return the expected wait for a version; none if it is not usable."""
+        state = self._table.state
+        model = request.target
+        workspace = state.workspace(request.workspace)
+        cascade = self.cascades.of(state, model)
+        if workspace is None or cascade is None:
+            return None
+        if self.holds.is_held(model, version):
+            return None
+        if not state.takes_work(model, version):
+            return None
+        if not workspace.allows(model, version):
+            return None
+        return self._expected_wait_s(f'{model}/{version}', version, cascade)
+
     def choose_replica(
         self, serving: str, tried: Container[str] = ()
     ) -> Result[Replica, RequestFailure]:
@@ -75,13 +143,37 @@
             )
         return Ok(replica)
 
-    def _pick(self, replicas: list[Replica]) -> Replica | None:
-        context = LoadContext(
-            now_s=SYSTEM_CLOCK.monotonic_s(),
-            service_time_s=DEFAULT_SERVICE_TIME_S,
+    def _expected_wait_s(
+        self, serving: str, version: str, cascade: ModelCascade
+    ) -> float | None:
+        replicas = self._near.of(serving)
+        least = least_load(replicas)
+        if least is None:
+            return None
+        return least.wait_s(cascade.policy.times_by_version[version])
+
+    def _subset(self, serving: str) -> list[Replica]:
+        return replica_subset(
+            self._upstreams.replicas_serving(serving),
+            self._host,
+            self._picking.failure_domain,
         )
-        views = replica_views(replicas, context)
+
+    def _plan(self) -> None:
+        while not self._kernel.stopping.wait(PLAN_INTERVAL_S):
+            self.cascades.replan(self._table.state)
+
+    def _pick(self, replicas: list[Replica]) -> Replica | None:
+        views = _views(replicas)
         picked = pick_replica(views, self._picking)
         if picked is None:
             return None
         return next(one for one in replicas if one.host == picked.host)
+
+
+def _views(replicas: list[Replica]) -> list[ReplicaView]:
+    context = LoadContext(
+        now_s=SYSTEM_CLOCK.monotonic_s(),
+        service_time_s=DEFAULT_SERVICE_TIME_S,
+    )
+    return replica_views(replicas, context)
--- a/marigoldhoist/core/exchange.py
+++ b/marigoldhoist/core/exchange.py
@@ -20,6 +20,8 @@
     body: bytes
     deadline_s: float
     session: str = ''
+    task: str = ''
+    session_token: str = ''
     quality_target: float = 0
     is_streamed: bool = False
     is_repeatable: bool = True
@@ -41,3 +43,4 @@
     content_type: str
     serving: str
     body: Iterator[bytes]
+    session_token: str = ''
--- a/tools/bench/replay/engine.py
+++ b/tools/bench/replay/engine.py
@@ -4,7 +4,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from marigoldhoist.components.upstreams.models import Replica
+from marigoldhoist.components.upstreams.models import Replica, SeenReport
 from tools.bench.replay.clockwork import Clockwork
 from tools.bench.replay.stream import ReplayRequest
 from tools.bench.replay.workload import VersionPart, Workload
@@ -59,7 +59,8 @@
         self._limit = workload.batch_limit
         self._running: set[Run] = set()
         self._queue: collections.deque[Run] = collections.deque()
-        self._reported = 0
+        self._reported = SeenReport(0, workload.batch_full, 0, 0)
+        self._replayed_daemons = workload.replayed_daemons
 
     @property
     def load(self) -> int:
@@ -68,17 +69,21 @@
         return own + round(self.background)
 
     def report(self) -> None:
-        """Show the load that the last report but one had."""
-        load = self.load
-        self.view.in_flight = self._reported
-        self._reported = load
+        """Show the last report but one, as one of the daemons sees it."""
+        self.view.report = self._reported
+        self._reported = SeenReport(
+            counted_s=self._clockwork.now_s,
+            in_flight=self.load,
+            own_in_flight=self._own(),
+            slots=self._full,
+        )
 
     def begin(self, run: Run) -> None:
         """Take a run; it starts at once or waits for a slot."""
-        self.view.in_flight += 1
         run.was_queued = self.load >= self._limit
         self._queue.append(run)
         self._fill()
+        self.view.in_flight = self._own()
 
     def end(self, run: Run, is_failed: bool = False) -> None:
         """End a run, and start the next that waits."""
@@ -88,6 +93,7 @@
         run.is_failed = is_failed
         self._running.discard(run)
         self._fill()
+        self.view.in_flight = self._own()
 
     def fail(self) -> None:
         """Go down with all that runs and waits."""
@@ -98,6 +104,10 @@
             self.end(run, is_failed=True)
             run.ended(run)
 
+    def _own(self) -> int:
+        own = len(self._running) + len(self._queue)
+        return round(own / self._replayed_daemons)
+
     def _fill(self) -> None:
         slots = self._limit - round(self.background)
         while self._queue and len(self._running) < max(1, slots):
--- a/tools/bench/replay/fleet.py
+++ b/tools/bench/replay/fleet.py
@@ -2,14 +2,24 @@
 
 import random
 
-from marigoldhoist.components.routing.replicas import pick_replica
+from marigoldhoist.components.routing.const import DEFAULT_SERVICE_TIME_S
+from marigoldhoist.components.routing.loads import LoadContext, replica_views
+from marigoldhoist.components.routing.replicas import (
+    PickContext,
+    pick_replica,
+)
+from marigoldhoist.components.routing.subsets import replica_subset
 from marigoldhoist.components.routing.times import StageTimes
+from marigoldhoist.components.routing.waits import least_load
+from marigoldhoist.components.upstreams.models import Replica
 from tools.bench.replay.clockwork import Clockwork
 from tools.bench.replay.contenders import BoundContender, Contender
 from tools.bench.replay.engine import FakeEngine
 from tools.bench.replay.workload import Workload
 
 LIST_LAG_S = 2.0
+DAEMON = 'replayed'
+DOMAIN = 'domain-0'
 BACKGROUND_INTERVAL_S = 0.5
 BACKGROUND_WEIGHT = 0.3
 
@@ -28,9 +38,11 @@
         self._workload = workload
         self._clockwork = clockwork
         self._contender = contender
-        self._rng = rng
+        self._picking = PickContext('', rng)
+        self._service_time_s = DEFAULT_SERVICE_TIME_S
         self._turn_by_version: dict[str, int] = {}
         self._picked_by_version: dict[str, FakeEngine] = {}
+        self._subset_by_version: dict[str, list[Replica]] = {}
         self.engines_by_version = _engines(workload, clockwork)
         self._engine_by_host = {
             engine.view.host: engine
@@ -64,15 +76,14 @@
 
     def wait_s(self, version: str) -> float | None:
         """Return the expected seconds to the first token, if it is usable."""
-        engine = self.pick(version)
-        if engine is None:
+        if version in self.held:
             return None
-        load = engine.view.in_flight
-        if isinstance(self._contender, BoundContender):
-            load = engine.load
         times = self.times_by_version[version]
-        wait_s: float = times.wait_s(load, self._workload.batch_limit)
-        return wait_s
+        if isinstance(self._contender, BoundContender):
+            engine = self.pick(version)
+            return None if engine is None else self._true_wait_s(engine, times)
+        least = least_load(self._subset(version))
+        return None if least is None else least.wait_s(times)
 
     def pick(self, version: str) -> FakeEngine | None:
         """Pick a replica, the same one within a decision."""
@@ -103,11 +114,31 @@
         if isinstance(self._contender, BoundContender):
             up = [engine for engine in engines if engine.is_up]
             return min(up, key=lambda engine: engine.load, default=None)
-        views = [engine.view for engine in engines]
-        view = pick_replica(views, '', self._rng)
-        return None if view is None else self._engine_by_host[view.host]
+        return self._pick_by_load(version)
+
+    def _subset(self, version: str) -> list[Replica]:
+        near = self._subset_by_version.get(version)
+        if near is None:
+            engines = self.engines_by_version[version]
+            replicas = [engine.view for engine in engines]
+            near = replica_subset(replicas, DAEMON, DOMAIN)
+            self._subset_by_version[version] = near
+        return near
+
+    def _true_wait_s(self, engine: FakeEngine, times: StageTimes) -> float:
+        return times.wait_s(engine.load, self._workload.batch_limit)
+
+    def _pick_by_load(self, version: str) -> FakeEngine | None:
+        """Pick as a daemon does, from reports and its own requests."""
+        context = LoadContext(self._clockwork.now_s, self._service_time_s)
+        views = replica_views(self._subset(version), context)
+        picked = pick_replica(views, self._picking)
+        if picked is None:
+            return None
+        return self._engine_by_host[picked.host]
 
     def _unlist(self, lost: list[FakeEngine]) -> None:
+        self._subset_by_version.clear()
         self.engines_by_version = {
             version: [engine for engine in engines if engine not in lost]
             for version, engines in self.engines_by_version.items()
