--- a/marigoldhoist/components/health/service.py
+++ b/marigoldhoist/components/health/service.py
@@ -43,7 +43,7 @@
 class LocalHold:
     """A hold that the table does not show yet, and when to submit it.
 
-    The daemon that found the version bad repeats its own notice.
+    The daemon that judged the version tells its peers until the table does.
     """
 
     notice: HoldNotice
@@ -108,31 +108,29 @@
 
     def hold_and_tell(self, notice: HoldNotice) -> None:
         """Hold a version here, at the peers and then in the table."""
-        if self._hold(notice, 0, is_own=True):
-            self._tell(notice)
+        self._hold(LocalHold(notice, time.monotonic(), is_own=True))
+        self._tell(notice)
 
     def _tell(self, notice: HoldNotice) -> None:
-        """Tell the peers; repeated, as a message may be lost."""
-        payload = msgspec.msgpack.encode(notice)
-        self._peers.publish(HOLD_TOPIC, payload)
+        self._peers.publish(HOLD_TOPIC, msgspec.msgpack.encode(notice))
 
-    def _hold(self, notice: HoldNotice, wait_s: float, *, is_own: bool) -> bool:
+    def _hold(self, hold: LocalHold) -> None:
+        notice = hold.notice
         serving = f'{notice.model}/{notice.version}'
-        submit_s = time.monotonic() + wait_s
         with self._lock:
             if serving in self._hold_by_serving:
-                return False
-            self._hold_by_serving[serving] = LocalHold(notice, submit_s, is_own)
+                return
+            self._hold_by_serving[serving] = hold
         self._routing.holds.hold(notice.model, notice.version)
         emit(VERSION_HELD, serving=serving, reason=notice.reason)
-        return True
 
     def _on_notice(self, _sender: str, payload: bytes) -> None:
         notice = msgspec.msgpack.decode(payload, type=HoldNotice)
         is_known = self._revision(notice) <= notice.revision
         if is_known and not self._is_last(notice.model, notice.version):
             wait_s = OTHERS_WAIT_S * (1 + random.random())
-            self._hold(notice, wait_s, is_own=False)
+            submit_s = time.monotonic() + wait_s
+            self._hold(LocalHold(notice, submit_s, is_own=False))
 
     def _submit_all(self) -> None:
         while not self._kernel.stopping.wait(SUBMIT_INTERVAL_S):
@@ -144,6 +142,7 @@
         if self._revision(notice) > notice.revision:
             self._end(notice)
             return
+        # A peer may have been out of reach when it was told before.
         if hold.is_own:
             self._tell(notice)
         if time.monotonic() >= hold.submit_s:
