--- a/marigoldhoist/components/routing/service.py
+++ b/marigoldhoist/components/routing/service.py
@@ -15,7 +15,6 @@
 from marigoldhoist.components.routing.holds import Holds
 from marigoldhoist.components.routing.live import LiveCascades, ModelCascade
 from marigoldhoist.components.routing.loads import LoadContext, replica_views
-from marigoldhoist.components.routing.near import NearReplicas
 from marigoldhoist.components.routing.replicas import (
     PickContext,
     ReplicaView,
@@ -27,7 +26,7 @@
     usable_weights,
     within_roll_out,
 )
-from marigoldhoist.components.routing.waits import least_load
+from marigoldhoist.components.routing.waits import NearReplicas, least_load
 from marigoldhoist.components.table.const import COMPONENT as TABLE
 from marigoldhoist.components.table.service import TableService
 from marigoldhoist.components.upstreams.const import COMPONENT as UPSTREAMS
