Poll only replicas in use; eject after a fresh connection failed

Cause: the load of replicas was never read, a silent or refused replica was chosen again and again, and every request walked the whole host list.

--- a/marigoldhoist/components/dispatch/calls.py
+++ b/marigoldhoist/components/dispatch/calls.py
@@ -34,6 +34,7 @@
         },
         body=body,
         timeout_s=request.time_left_s,
+        is_streamed=request.is_streamed,
     )
 
 
--- a/marigoldhoist/components/routing/loads.py
+++ b/marigoldhoist/components/routing/loads.py
@@ -1,14 +1,24 @@
 """Estimate the load of replicas from reports that lag.
 
-The requests of other daemons at a replica are taken as a birth-death process:
-a count that was seen `age` seconds ago says `exp(-age / service time)` of what
-a fresh one would, and the rest is the mean over the replicas.
+The requests of other daemons at a replica return to the mean over the
+replicas: of a difference that a report showed, `exp(-age / memory)` is left.
+The memory is shorter than the time a request stays, because the other daemons
+even out differences as well.
+
+The spread of an estimate keeps daemons with the same report apart. A daemon
+with several requests of its own at each replica evens those out instead, so
+the spread shrinks as they grow.
 """
 
 import dataclasses
 import math
 from collections.abc import Mapping, Sequence
 
+from marigoldhoist.components.routing.const import (
+    MEMORY_SHARE,
+    OWN_COUNT_WEIGHT,
+    SPREAD_SHARE,
+)
 from marigoldhoist.components.routing.replicas import ReplicaView
 from marigoldhoist.components.upstreams.models import Replica
 
@@ -31,33 +41,46 @@
     replicas: Sequence[Replica], context: LoadContext
 ) -> list[ReplicaView]:
     """Return the estimated load of each replica, in their order."""
-    mean_per_slot = _mean_others_per_slot(replicas)
-    return [_view(replica, mean_per_slot, context) for replica in replicas]
-
-
-def _view(
-    replica: Replica, mean_per_slot: float, context: LoadContext
-) -> ReplicaView:
-    slots = replica.slots
-    mean = mean_per_slot * slots
-    others = mean
-    variance = mean
-    report = replica.report
-    if report is not None:
-        age_s = max(0, context.now_s - report.counted_s)
-        kept = math.exp(-age_s / context.service_time_s)
-        counted = _others(report.in_flight, report.own_in_flight)
-        others = counted * kept + mean * (1 - kept)
-        variance = (counted * kept + mean) * (1 - kept)
-    return ReplicaView(
-        host=replica.host,
-        failure_domain=replica.failure_domain,
-        in_flight=replica.in_flight + others,
-        spread=math.sqrt(variance),
-        slots=slots,
-        known_s=context.now_s - replica.first_seen_s,
-        cached_share=context.cached_share_by_host.get(replica.host, 0),
-    )
+    if not replicas:
+        return []
+    estimates = _Estimates(replicas, context)
+    return [estimates.view(replica) for replica in replicas]
+
+
+class _Estimates:
+    """What the estimates of one choice have in common."""
+
+    def __init__(
+        self, replicas: Sequence[Replica], context: LoadContext
+    ) -> None:
+        own = sum(replica.in_flight for replica in replicas) / len(replicas)
+        self._context = context
+        self._memory_s = context.service_time_s * MEMORY_SHARE
+        self._spread_share = SPREAD_SHARE * math.exp(-own * OWN_COUNT_WEIGHT)
+        self._mean_per_slot = _mean_others_per_slot(replicas)
+
+    def view(self, replica: Replica) -> ReplicaView:
+        """Return one replica's estimate."""
+        report = replica.report
+        slots = replica.slots
+        mean = self._mean_per_slot * slots
+        others = mean
+        variance = mean
+        if report is not None:
+            age_s = self._context.now_s - report.counted_s
+            kept = math.exp(-max(0, age_s) / self._memory_s)
+            counted = _others(report.in_flight, report.own_in_flight)
+            others = mean + (counted - mean) * kept
+            variance = (counted * kept + mean) * (1 - kept)
+        return ReplicaView(
+            replica.host,
+            replica.failure_domain,
+            replica.in_flight + others,
+            math.sqrt(variance) * self._spread_share,
+            slots,
+            self._context.now_s - replica.first_seen_s,
+            self._context.cached_share_by_host.get(replica.host, 0),
+        )
 
 
 def _mean_others_per_slot(replicas: Sequence[Replica]) -> float:
--- a/marigoldhoist/components/routing/replicas.py
+++ b/marigoldhoist/components/routing/replicas.py
@@ -13,6 +13,7 @@
 from marigoldhoist.components.routing.const import (
     AFFINITY_BONUS,
     AFFINITY_BOUND,
+    MIDDLE,
     MIN_WARM_SHARE,
     SLOW_START_S,
     SPILL_MARGIN,
@@ -23,9 +24,10 @@
 class ReplicaView:
     """One replica as a choice sees it.
 
-    The expected requests in flight there and their standard deviation, the
-    slots that it batches without slowing down, the seconds since it was first
-    seen, and the share of the prompt that its prefix cache should hold.
+    The expected requests in flight there, the width of the interval that
+    they are drawn from, the slots that it batches without slowing down, the
+    seconds since it was first seen, and the share of the prompt that its
+    prefix cache should hold.
     """
 
     host: str
@@ -37,19 +39,11 @@
     cached_share: float = 0
 
     @property
-    def use(self) -> float:
-        """Return the expected requests per slot, with this request."""
-        return (self.in_flight + 1) / (self.slots * self._warm_share)
-
-    @property
-    def _warm_share(self) -> float:
-        warm = self.known_s / SLOW_START_S
-        return min(1, max(MIN_WARM_SHARE, warm))
-
-    def drawn_use(self, rng: random.Random) -> float:
-        """Return the use with the request count drawn at random."""
-        drawn = max(0, rng.gauss(self.in_flight, self.spread))
-        return (drawn + 1) / (self.slots * self._warm_share)
+    def warm_slots(self) -> float:
+        """Return the slots, fewer while the replica is new."""
+        if self.known_s >= SLOW_START_S:
+            return self.slots
+        return self.slots * max(MIN_WARM_SHARE, self.known_s / SLOW_START_S)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,16 +70,21 @@
 
 
 def _score(view: ReplicaView, bound: float, context: PickContext) -> float:
-    score = view.drawn_use(context.rng)
+    slots = view.warm_slots
+    in_flight = view.in_flight
+    if view.spread:
+        in_flight += (context.rng.random() - MIDDLE) * view.spread
+        in_flight = max(0, in_flight)
+    score = (in_flight + 1) / slots
     if view.failure_domain != context.failure_domain:
         score += SPILL_MARGIN
-    if view.cached_share and view.use <= bound:
+    if view.cached_share and (view.in_flight + 1) / slots <= bound:
         score -= AFFINITY_BONUS * view.cached_share
     return score
 
 
 def _affinity_bound(views: Sequence[ReplicaView]) -> float:
-    """Return the use up to which a cached prefix attracts work."""
+    """Return the requests per slot up to which a prefix attracts work."""
     in_flight = sum(view.in_flight for view in views)
     slots = sum(view.slots for view in views)
     return AFFINITY_BOUND * (in_flight + len(views)) / slots
--- a/marigoldhoist/components/routing/service.py
+++ b/marigoldhoist/components/routing/service.py
@@ -1,5 +1,6 @@
 """The routing service."""
 
+import dataclasses
 import random
 from collections.abc import Container
 
@@ -28,6 +29,14 @@
 from marigoldhoist.core.kernel import BaseService, Kernel
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownSubset:
+    """The usable replicas of a name and the subset chosen of them."""
+
+    usable: tuple[Replica, ...]
+    chosen: list[Replica]
+
+
 class RoutingService(BaseService):
     """Chooses versions by the table and replicas by load."""
 
@@ -35,6 +44,7 @@
         daemon = kernel.settings.section(DaemonSettings)
         self._host = daemon.host
         self._picking = PickContext(daemon.failure_domain, random.Random())
+        self._subset_by_serving: dict[str, KnownSubset] = {}
         self._table = kernel.find(TABLE, TableService)
         self._upstreams = kernel.find(UPSTREAMS, UpstreamService)
 
@@ -57,10 +67,8 @@
         self, serving: str, tried: Container[str] = ()
     ) -> Result[Replica, RequestFailure]:
         """Choose a replica that serves the name and was not tried yet."""
-        replicas = replica_subset(
-            self._upstreams.replicas_serving(serving),
-            self._host,
-            self._picking.failure_domain,
+        replicas = self._subset(
+            serving, self._upstreams.replicas_serving(serving)
         )
         replica = self._pick(
             [replica for replica in replicas if replica.host not in tried]
@@ -75,9 +83,25 @@
             )
         return Ok(replica)
 
+    def _subset(
+        self, serving: str, usable: tuple[Replica, ...]
+    ) -> list[Replica]:
+        """Return the daemon's subset, ranked anew only on a change."""
+        known = self._subset_by_serving.get(serving)
+        if known is not None and known.usable == usable:
+            return known.chosen
+        chosen = replica_subset(
+            usable, self._host, self._picking.failure_domain
+        )
+        self._subset_by_serving[serving] = KnownSubset(usable, chosen)
+        return chosen
+
     def _pick(self, replicas: list[Replica]) -> Replica | None:
+        now_s = SYSTEM_CLOCK.monotonic_s()
+        for replica in replicas:
+            replica.wanted_s = now_s
         context = LoadContext(
-            now_s=SYSTEM_CLOCK.monotonic_s(),
+            now_s=now_s,
             service_time_s=DEFAULT_SERVICE_TIME_S,
         )
         views = replica_views(replicas, context)
--- a/marigoldhoist/components/upstreams/const.py
+++ b/marigoldhoist/components/upstreams/const.py
@@ -11,4 +11,21 @@
 DONE_EVENT: Final = b'data: [DONE]'
 EVENT_PREFIX: Final = b'data: '
 
+LOAD_PATH: Final = '/load'
+CANCEL_PATH: Final = '/cancel'
+LEAVING_HEADER: Final = 'X-Leaving'
+HTTP_UNAVAILABLE: Final = 503
+
 DEFAULT_SLOTS: Final = 8
+HISTORY_ENTRIES: Final = 128
+
+POLL_INTERVAL_S: Final = 1.0
+POLL_BYTES: Final = 800
+POLL_BYTES_PER_S: Final = 6000
+POLL_TIMEOUT_S: Final = 0.5
+WANTED_S: Final = 60.0
+
+EJECTION_S: Final = 1.0
+MAX_EJECTION_S: Final = 30.0
+MAX_EJECTED_SHARE: Final = 0.5
+LEAVING_S: Final = 30.0
--- a/marigoldhoist/components/upstreams/models.py
+++ b/marigoldhoist/components/upstreams/models.py
@@ -1,9 +1,30 @@
-"""Replicas, their load reports and calls to them, inside the daemon."""
+"""Replicas, their load reports and calls to them."""
 
+import collections
 import dataclasses
 import threading
 
-from marigoldhoist.components.upstreams.const import DEFAULT_SLOTS
+import msgspec
+
+from marigoldhoist.components.upstreams.const import (
+    DEFAULT_SLOTS,
+    HISTORY_ENTRIES,
+)
+from marigoldhoist.core.clock import SYSTEM_CLOCK
+
+
+class LoadReply(msgspec.Struct, frozen=True):
+    """What a replica answers to `GET /load`.
+
+    The counts were taken age_ms before the answer; slots is how many requests
+    it batches without slowing down.
+    """
+
+    running: int = 0
+    waiting: int = 0
+    slots: int = DEFAULT_SLOTS
+    age_ms: int = 0
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -20,7 +41,19 @@
     counted_s: float
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class PastCount:
+    """This daemon's requests at a replica from a time on, in seconds."""
+
+    since_s: float
+    in_flight: int
+
+
+def _history() -> collections.deque[PastCount]:
+    return collections.deque(maxlen=HISTORY_ENTRIES)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
 class Replica:
     """One upstream process and this daemon's requests in flight at it."""
 
@@ -32,31 +65,56 @@
     is_leaving: bool = False
     in_flight: int = 0
     first_seen_s: float = 0
+    wanted_s: float = 0
     report: SeenReport | None = None
     lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
+    history: collections.deque[PastCount] = dataclasses.field(
+        default_factory=_history
+    )
 
     @property
     def slots(self) -> int:
         """Return how many requests it batches without slowing down."""
         return self.report.slots if self.report else DEFAULT_SLOTS
 
+    @property
+    def url(self) -> str:
+        """Return the base address."""
+        return f'http://{self.address}:{self.port}'
+
     def begin(self) -> None:
         """Count a request in."""
-        with self.lock:
-            self.in_flight += 1
+        self._count(1)
 
     def end(self) -> None:
         """Count a request out."""
+        self._count(-1)
+
+    def in_flight_at(self, time_s: float) -> int:
+        """Return this daemon's requests here at an earlier time."""
+        with self.lock:
+            for past in reversed(self.history):
+                if past.since_s <= time_s:
+                    return past.in_flight
+            return self.history[0].in_flight if self.history else 0
+
+    def _count(self, change: int) -> None:
         with self.lock:
-            self.in_flight -= 1
+            self.in_flight += change
+            now_s = SYSTEM_CLOCK.monotonic_s()
+            self.history.append(PastCount(now_s, self.in_flight))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamCall:
-    """One HTTP request to a replica."""
+    """One HTTP request to a replica.
+
+    A streamed answer that makes no progress is given up before the timeout.
+    """
 
     method: str
     path: str
     headers: dict[str, str]
     body: bytes
     timeout_s: float
+    is_streamed: bool = False
--- a/marigoldhoist/components/upstreams/service.py
+++ b/marigoldhoist/components/upstreams/service.py
@@ -1,34 +1,40 @@
 """The upstream service: replicas by what they serve, and calls to them."""
 
+import contextlib
+
+import msgspec
 import urllib3
 from result import Err, Ok, Result
 
 from marigoldhoist.components.hosts.const import COMPONENT as HOSTS
-from marigoldhoist.components.hosts.models import (
-    HostEntry,
-    HostRole,
-    HostState,
-)
 from marigoldhoist.components.hosts.service import HostService
 from marigoldhoist.components.upstreams.answer import UpstreamAnswer
 from marigoldhoist.components.upstreams.const import (
+    CANCEL_PATH,
     CONNECTIONS_PER_REPLICA,
+    HTTP_UNAVAILABLE,
+    LEAVING_HEADER,
     MAX_POOLS,
+    POLL_TIMEOUT_S,
 )
+from marigoldhoist.components.upstreams.ejection import Ejections
 from marigoldhoist.components.upstreams.models import Replica, UpstreamCall
+from marigoldhoist.components.upstreams.registry import ReplicaRegistry
 from marigoldhoist.components.upstreams.settings import UpstreamSettings
+from marigoldhoist.components.upstreams.watch import ReplicaWatch
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
 from marigoldhoist.core.kernel import BaseService, Kernel
 from marigoldhoist.core.verdict import Verdict
 
-UPSTREAM_ROLES = (HostRole.ENGINE, HostRole.SERVICE)
+Sent = Result[UpstreamAnswer, RequestFailure]
 
 
 class UpstreamService(BaseService):
     """Replicas from the host list, and HTTP calls to them."""
 
     def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
         self._settings = kernel.settings.section(UpstreamSettings)
         self._hosts = kernel.find(HOSTS, HostService)
         self._pool = urllib3.PoolManager(
@@ -36,76 +42,92 @@
             maxsize=CONNECTIONS_PER_REPLICA,
             retries=False,
         )
-        self._replica_by_host: dict[str, Replica] = {}
+        self._registry = ReplicaRegistry()
+        self._ejections = Ejections()
+        self._watch = ReplicaWatch(
+            self._registry, self._ejections, kernel.stopping
+        )
+
+    def start(self) -> None:
+        """Begin to poll and probe."""
+        self._kernel.spawn('upstream-poll', self._watch.poll)
+        self._kernel.spawn('upstream-probe', self._watch.probe)
 
     def replicas_serving(self, name: str) -> tuple[Replica, ...]:
         """Return the replicas that serve a name and take new work."""
-        return tuple(
-            replica
-            for replica in self._current()
-            if name in replica.serves and not replica.is_leaving
-        )
+        listed = self._registry.serving(self._hosts.hosts_by_name, name)
+        return self._ejections.usable(listed, SYSTEM_CLOCK.monotonic_s())
 
-    def send(
-        self, replica: Replica, call: UpstreamCall
-    ) -> Result[UpstreamAnswer, RequestFailure]:
+    def send(self, replica: Replica, call: UpstreamCall) -> Sent:
         """Send a call; the failure's verdict says whether it may have run."""
-        url = f'http://{replica.address}:{replica.port}{call.path}'
-        timeout = urllib3.Timeout(
-            connect=min(self._settings.connect_timeout_s, call.timeout_s),
-            read=min(self._settings.no_progress_s, call.timeout_s),
-        )
         replica.begin()
         try:
-            reply = self._pool.request(
-                call.method,
-                url,
-                body=call.body,
-                headers=call.headers,
-                timeout=timeout,
-                preload_content=False,
-                redirect=False,
-            )
+            reply = self._request(replica, call)
         except urllib3.exceptions.HTTPError as error:
             replica.end()
-            return Err(_failure(replica, error))
-        return Ok(UpstreamAnswer(replica, reply))
-
-    def _current(self) -> list[Replica]:
-        entries = [
-            entry
-            for role in UPSTREAM_ROLES
-            for entry in self._hosts.with_role(role)
-        ]
-        return [self._replica(entry) for entry in entries]
-
-    def _replica(self, entry: HostEntry) -> Replica:
-        replica = self._replica_by_host.get(entry.host)
-        if replica is None or replica.port != entry.port:
-            replica = Replica(
-                host=entry.host,
-                address=entry.address,
-                port=entry.port,
-                failure_domain=entry.failure_domain,
-                serves=entry.serves,
-                first_seen_s=SYSTEM_CLOCK.monotonic_s(),
+            return Err(self._note_failure(replica, error))
+        answer = UpstreamAnswer(replica, reply)
+        if LEAVING_HEADER in reply.headers:
+            self._watch.note_leaving(replica)
+            if reply.status == HTTP_UNAVAILABLE:
+                answer.close()
+                return Err(_failure(f'{replica.host} is leaving', is_run=False))
+        return Ok(answer)
+
+    def note_broken(self, replica: Replica) -> None:
+        """Learn that an answer was cut or stopped making progress."""
+        self._watch.suspect(replica)
+
+    def cancel(self, replica: Replica, request_id: str) -> None:
+        """Ask a replica to stop working on a request; it may not hear."""
+        body = msgspec.json.encode({'request_id': request_id})
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            self._pool.request(
+                'POST',
+                replica.url + CANCEL_PATH,
+                body=body,
+                timeout=POLL_TIMEOUT_S,
             )
-            self._replica_by_host[entry.host] = replica
-        replica.serves = entry.serves
-        replica.is_leaving = entry.state is HostState.LEAVING
-        return replica
-
-
-def _failure(
-    replica: Replica, error: urllib3.exceptions.HTTPError
-) -> RequestFailure:
-    not_sent = isinstance(
-        error,
-        urllib3.exceptions.NewConnectionError
-        | urllib3.exceptions.ConnectTimeoutError,
-    )
+
+    def _request(
+        self, replica: Replica, call: UpstreamCall
+    ) -> urllib3.BaseHTTPResponse:
+        longest_s = call.timeout_s
+        if call.is_streamed:
+            longest_s = min(self._settings.no_progress_s, longest_s)
+        return self._pool.request(
+            call.method,
+            replica.url + call.path,
+            body=call.body,
+            headers=call.headers,
+            timeout=urllib3.Timeout(
+                connect=min(self._settings.connect_timeout_s, call.timeout_s),
+                read=longest_s,
+            ),
+            preload_content=False,
+            redirect=False,
+        )
+
+    def _note_failure(
+        self, replica: Replica, error: urllib3.exceptions.HTTPError
+    ) -> RequestFailure:
+        not_sent = isinstance(
+            error,
+            urllib3.exceptions.NewConnectionError
+            | urllib3.exceptions.ConnectTimeoutError,
+        )
+        if not_sent:
+            self._watch.eject(replica)
+        else:
+            self._watch.suspect(replica)
+        return _failure(
+            f'{replica.host}: {type(error).__name__}', is_run=not not_sent
+        )
+
+
+def _failure(message: str, *, is_run: bool) -> RequestFailure:
     return RequestFailure(
         code=ErrorCode.UPSTREAM_FAILED,
-        message=f'{replica.host}: {type(error).__name__}',
-        verdict=Verdict.NOT_RUN if not_sent else Verdict.MAY_HAVE_RUN,
+        message=message,
+        verdict=Verdict.MAY_HAVE_RUN if is_run else Verdict.NOT_RUN,
     )
--- /dev/null
+++ b/tools/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Small measurements, each of one decision."""
--- a/tools/standins/plain.py
+++ b/tools/standins/plain.py
@@ -40,6 +40,8 @@
             return json_reply(self.faults)
         if request.path == '/calls':
             return json_reply(self.calls)
+        if request.path == '/load':
+            return json_reply({'running': 0, 'slots': 8})
         request_id = request.headers.get('x-request-id', '')
         with self._lock:
             self.calls.append(RunCall(request_id, request.path))
