--- a/marigoldhoist/components/dispatch/hedging.py
+++ b/marigoldhoist/components/dispatch/hedging.py
@@ -6,10 +6,10 @@
 
 from result import Err, Ok, Result
 
-from marigoldhoist.components.dispatch.started import StartedAnswer
+from marigoldhoist.components.upstreams.answer import UpstreamAnswer
 from marigoldhoist.core.errors import RequestFailure
 
-Tried = Result[StartedAnswer, RequestFailure]
+Tried = Result[UpstreamAnswer, RequestFailure]
 Try = Callable[[], Tried]
 Abandon = Callable[[], None]
 
--- /dev/null
+++ b/marigoldhoist/components/dispatch/relaying.py
@@ -0,0 +1,144 @@
+"""Pass an answer on to its caller, metered, and bill it at its end."""
+
+import dataclasses
+import time
+from collections.abc import Iterator
+
+import urllib3
+
+from marigoldhoist.components.billing.models import Bill
+from marigoldhoist.components.billing.service import BillingService
+from marigoldhoist.components.dispatch.bodies import (
+    OnEnd,
+    Resume,
+    StreamBody,
+    StreamEnd,
+)
+from marigoldhoist.components.dispatch.calls import serving_name
+from marigoldhoist.components.dispatch.const import TOKENS_PER_COST
+from marigoldhoist.components.dispatch.errors import AnswerCutError
+from marigoldhoist.components.dispatch.metering import BodyMeter
+from marigoldhoist.components.dispatch.stages import (
+    Attempt,
+    Outcome,
+    Passage,
+)
+from marigoldhoist.components.streams.service import StreamService
+from marigoldhoist.components.table.service import TableService
+from marigoldhoist.components.upstreams.answer import UpstreamAnswer
+from marigoldhoist.core.verdict import Verdict
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Recorded:
+    """An answer's body as far as it may be wanted again."""
+
+    content_type: str
+    body: bytes
+
+
+class Relaying:
+    """Relays answers; each is reported, billed and settled once."""
+
+    def __init__(
+        self,
+        host: str,
+        table: TableService,
+        billing: BillingService,
+        streams: StreamService,
+        no_progress_s: float,
+    ) -> None:
+        self._host = host
+        self._table = table
+        self._billing = billing
+        self._streams = streams
+        self._no_progress_s = no_progress_s
+
+    def body(
+        self,
+        passage: Passage,
+        version: str,
+        answer: UpstreamAnswer,
+        resume: Resume,
+    ) -> Iterator[bytes]:
+        """Return the answer's body, which bills the answer at its end.
+
+        Iterating a body that breaks off raises AnswerCutError.
+        """
+        started_s = time.monotonic()
+
+        def finish(end: StreamEnd) -> None:
+            attempt = Attempt(
+                serving=serving_name(passage.request, version),
+                replica=answer.replica.host,
+                verdict=Verdict.RAN,
+                status=answer.status,
+                tokens=end.tokens,
+                is_whole=end.is_whole,
+                first_token_s=end.first_token_s,
+                duration_s=time.monotonic() - started_s,
+            )
+            self._finish(passage, version, attempt, _recorded(answer, end))
+
+        if answer.is_event_stream:
+            return StreamBody(
+                answer, self._streams, self._no_progress_s, finish, resume
+            )
+        return _whole_body(answer, finish)
+
+    def _finish(
+        self,
+        passage: Passage,
+        version: str,
+        attempt: Attempt,
+        recorded: Recorded,
+    ) -> None:
+        request = passage.request
+        row = self._table.state.version(request.target, version)
+        price = row.cost_per_1k_tokens if row else 0
+        cost = price * attempt.tokens / TOKENS_PER_COST
+        passage.report(attempt)
+        self._billing.charge(
+            Bill(
+                workspace=request.workspace,
+                request_id=request.request_id,
+                serving=attempt.serving,
+                tokens=attempt.tokens,
+                cost=cost,
+                is_whole=attempt.is_whole,
+                host=self._host,
+            )
+        )
+        passage.settle(
+            Outcome(
+                verdict=attempt.verdict,
+                serving=attempt.serving,
+                status=attempt.status,
+                tokens=attempt.tokens,
+                cost=cost,
+                is_whole=attempt.is_whole,
+                content_type=recorded.content_type,
+                body=recorded.body,
+            )
+        )
+
+
+def _recorded(answer: UpstreamAnswer, end: StreamEnd) -> Recorded:
+    return Recorded(answer.content_type, end.body)
+
+
+def _whole_body(answer: UpstreamAnswer, on_end: OnEnd) -> Iterator[bytes]:
+    meter = BodyMeter()
+    failure: Exception | None = None
+    try:
+        for chunk in answer.chunks():
+            meter.feed(chunk)
+            yield chunk
+        meter.end()
+    except urllib3.exceptions.HTTPError as error:
+        failure = error
+    finally:
+        answer.close()
+        on_end(StreamEnd(meter.tokens, meter.is_whole, 0, meter.recorded))
+    if failure is not None:
+        raise AnswerCutError(str(failure)) from failure
--- a/marigoldhoist/components/upstreams/const.py
+++ b/marigoldhoist/components/upstreams/const.py
@@ -8,14 +8,13 @@
 MAX_POOLS: Final = 512
 CONNECTIONS_PER_REPLICA: Final = 64
 
-DONE_EVENT: Final = b'data: [DONE]'
-EVENT_PREFIX: Final = b'data: '
-
 LOAD_PATH: Final = '/load'
 CANCEL_PATH: Final = '/cancel'
+RESUMED_HEADER: Final = 'X-Resumed-From'
 LEAVING_HEADER: Final = 'X-Leaving'
 HTTP_UNAVAILABLE: Final = 503
 
+EVENT_STREAM_TYPE: Final = 'text/event-stream'
 DEFAULT_SLOTS: Final = 8
 HISTORY_ENTRIES: Final = 128
 
--- a/marigoldhoist/components/upstreams/service.py
+++ b/marigoldhoist/components/upstreams/service.py
@@ -74,6 +74,11 @@
                 return Err(_failure(f'{replica.host} is leaving', is_run=False))
         return Ok(answer)
 
+    @property
+    def no_progress_s(self) -> float:
+        """Return the longest pause of a stream, in seconds."""
+        return self._settings.no_progress_s
+
     def note_broken(self, replica: Replica) -> None:
         """Learn that an answer was cut or stopped making progress."""
         self._watch.suspect(replica)
--- /dev/null
+++ b/tests/components/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of retries."""
