--- a/marigoldhoist/components/dispatch/__init__.py
+++ b/marigoldhoist/components/dispatch/__init__.py
@@ -3,6 +3,7 @@
 from marigoldhoist.components.billing.const import COMPONENT as BILLING
 from marigoldhoist.components.dispatch.const import COMPONENT
 from marigoldhoist.components.dispatch.service import DispatchService
+from marigoldhoist.components.quality.const import COMPONENT as QUALITY
 from marigoldhoist.components.retries.const import COMPONENT as RETRIES
 from marigoldhoist.components.routing.const import COMPONENT as ROUTING
 from marigoldhoist.components.streams.const import COMPONENT as STREAMS
@@ -12,7 +13,8 @@
 
 
 @component(
-    COMPONENT, needs=(BILLING, RETRIES, ROUTING, STREAMS, TABLE, UPSTREAMS)
+    COMPONENT,
+    needs=(BILLING, QUALITY, RETRIES, ROUTING, STREAMS, TABLE, UPSTREAMS),
 )
 def set_up(kernel: Kernel) -> DispatchService:
     """Create the dispatch service."""
--- a/marigoldhoist/components/routing/const.py
+++ b/marigoldhoist/components/routing/const.py
@@ -4,6 +4,8 @@
 
 COMPONENT: Final = 'routing'
 
+HASH_RANGE: Final = 1 << 64
+
 
 SLOW_START_S: Final = 30.0
 MIN_WARM_SHARE: Final = 0.1
@@ -17,3 +19,6 @@
 SPREAD_SHARE: Final = 1.75
 MIDDLE: Final = 0.5
 OWN_COUNT_WEIGHT: Final = 2.0
+PLAN_INTERVAL_S: Final = 5.0
+# An engine batches twice what it serves at full speed before it queues.
+SLOTS_PER_BATCH: Final = 2
--- a/marigoldhoist/components/routing/replicas.py
+++ b/marigoldhoist/components/routing/replicas.py
@@ -38,6 +38,11 @@
     known_s: float = math.inf
     cached_share: float = 0
 
+    @property
+    def use(self) -> float:
+        """Return the expected requests per slot, with this request."""
+        return (self.in_flight + 1) / self.warm_slots
+
     @property
     def warm_slots(self) -> float:
         """Return the slots, fewer while the replica is new."""
--- a/tests/components/routing/__init__.py
+++ b/tests/components/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of routing."""
+"""Tests of the routing component."""
--- a/tools/standins/engine.py
+++ b/tools/standins/engine.py
@@ -28,6 +28,7 @@
     is_resume_ignored: bool = False
     late_first_token_s: float = 0
     load_lag_s: float = 0
+    doubt_by_serving: dict[str, float] = {}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,32 +135,43 @@
         words = [f'{request_id}:{number} ' for number in range(chat.max_tokens)]
         if chat.stream:
             headers = (('X-Resumed-From', str(resume_from)),)
-            body = self._stream(served, words)
+            body = self._stream(chat, served, words)
             return WebReply(body, 200, EVENT_STREAM, headers)
         self._batch.enter(served.priority)
         time.sleep(self._first_token_s + self._token_time_s * len(words))
         self._batch.leave()
-        return json_reply(whole_answer(chat, words))
+        return json_reply(whole_answer(chat, words) | self._doubt(chat))
+
+    def _part(
+        self, chat: ChatRequest, word: str, is_last: bool
+    ) -> dict[str, Any]:
+        part = {'choices': [{'delta': {'content': word}}]}
+        return part | self._doubt(chat) if is_last else part
+
+    def _doubt(self, chat: ChatRequest) -> dict[str, Any]:
+        doubt = self.faults.doubt_by_serving.get(chat.model)
+        return {} if doubt is None else {'doubt': doubt}
 
     def _stream(
-        self, served: ServedRequest, words: list[str]
+        self, chat: ChatRequest, served: ServedRequest, words: list[str]
     ) -> Iterator[bytes]:
         self._batch.enter(served.priority)
         try:
             time.sleep(self._first_token_s + self.faults.late_first_token_s)
-            yield from self._words(served, words)
+            yield from self._words(chat, served, words)
         finally:
             self._batch.leave()
 
     def _words(
-        self, served: ServedRequest, words: list[str]
+        self, chat: ChatRequest, served: ServedRequest, words: list[str]
     ) -> Iterator[bytes]:
         for number, word in enumerate(words, start=1):
             if number <= served.resume_from:
                 continue
             if served.request_id in self.cancelled:
                 return
-            yield event({'choices': [{'delta': {'content': word}}]})
+            is_last = number == len(words)
+            yield event(self._part(chat, word, is_last))
             if number == self.faults.cut_after_tokens:
                 raise ConnectionResetError('told to cut the stream')
             if number == self.faults.silent_after_tokens:
