--- a/marigoldhoist/components/dispatch/calls.py
+++ b/marigoldhoist/components/dispatch/calls.py
@@ -5,7 +5,9 @@
 from marigoldhoist.components.dispatch.const import (
     CHAT_PATH,
     DEADLINE_HEADER,
+    PRIORITY_HEADER,
     REQUEST_ID_HEADER,
+    RESUME_HEADER,
 )
 from marigoldhoist.components.upstreams.models import UpstreamCall
 from marigoldhoist.core.const import MS_PER_S
@@ -17,23 +19,33 @@
     return f'{request.target}/{version}' if version else request.target
 
 
-def upstream_call(request: CallerRequest, version: str) -> UpstreamCall:
-    """Return the call; a model request names the version chosen."""
+def upstream_call(
+    request: CallerRequest, version: str, resume_from: int, priority: int
+) -> UpstreamCall:
+    """Return the call; a model request names the version chosen.
+
+    An engine serves a lower priority first.
+    """
     body = request.body
     path = request.path
     if version:
         path = CHAT_PATH
         body = _with_model(body, serving_name(request, version))
+    headers = {
+        'Content-Type': request.content_type,
+        REQUEST_ID_HEADER: request.request_id,
+        DEADLINE_HEADER: str(int(request.time_left_s * MS_PER_S)),
+        PRIORITY_HEADER: str(priority),
+    }
+    if resume_from:
+        headers[RESUME_HEADER] = str(resume_from)
     return UpstreamCall(
         method=request.method,
         path=path,
-        headers={
-            'Content-Type': request.content_type,
-            REQUEST_ID_HEADER: request.request_id,
-            DEADLINE_HEADER: str(int(request.time_left_s * MS_PER_S)),
-        },
+        headers=headers,
         body=body,
         timeout_s=request.time_left_s,
+        is_streamed=request.is_streamed,
     )
 
 
--- a/marigoldhoist/components/table/models.py
+++ b/marigoldhoist/components/table/models.py
@@ -47,7 +47,7 @@
 
 
 class LimitColumns(Row, frozen=True):
-    """Limits of a workspace; zero means none."""
+    """Limits of a workspace or a model; zero means none."""
 
     requests_per_s: Amount = NO_LIMIT
     concurrent: Annotated[int, msgspec.Meta(ge=0)] = 0
@@ -118,6 +118,7 @@
     weights_by_version: dict[str, Share]
     cascade: tuple[str, ...] = ()
     roll_out: RollOut | None = None
+    limits: LimitColumns = LimitColumns()
 
 
 class VersionRow(Row, frozen=True):
--- a/marigoldhoist/components/upstreams/answer.py
+++ b/marigoldhoist/components/upstreams/answer.py
@@ -1,6 +1,7 @@
 """An upstream's answer while it is read."""
 
 import contextlib
+import select
 import socket
 from collections.abc import Iterator
 from typing import Any
@@ -11,8 +12,10 @@
 from marigoldhoist.components.upstreams.const import (
     EVENT_STREAM_TYPE,
     READ_CHUNK_BYTES,
+    RESUMED_HEADER,
 )
 from marigoldhoist.components.upstreams.models import Replica
+from marigoldhoist.core.const import MS_PER_S
 
 
 class UpstreamAnswer:
@@ -31,11 +34,33 @@
         self._is_whole = False
         self._is_closed = False
 
+    @property
+    def resumed_from(self) -> int:
+        """Return the tokens that the engine left out, as it was asked to."""
+        given = self._reply.headers.get(RESUMED_HEADER, '')
+        return int(given) if given.isdigit() else 0
+
     @property
     def is_event_stream(self) -> bool:
         """Tell whether the body is a stream of server-sent events."""
         return self.content_type.startswith(EVENT_STREAM_TYPE)
 
+    def wait_for_body(self, timeout_s: float) -> bool:
+        """Wait for the first bytes of the body; False if none came in time."""
+        connection = getattr(self._reply, 'connection', None)
+        if not self._reply.chunked or connection is None:
+            return True
+        upstream: socket.socket = connection.sock
+        timeout_before_s = upstream.gettimeout()
+        upstream.setblocking(False)
+        received = self._http_reply().fp.peek(1)
+        upstream.settimeout(timeout_before_s)
+        if received:
+            return True
+        poll = select.poll()
+        poll.register(upstream, select.POLLIN)
+        return bool(poll.poll(timeout_s * MS_PER_S))
+
     def source(self, no_progress_s: float) -> StreamSource | None:
         """Return the socket that a chunked stream is read from.
 
