--- a/marigoldhoist/components/dispatch/__init__.py
+++ b/marigoldhoist/components/dispatch/__init__.py
@@ -5,6 +5,7 @@
 from marigoldhoist.components.dispatch.service import DispatchService
 from marigoldhoist.components.quality.const import COMPONENT as QUALITY
 from marigoldhoist.components.ratings.const import COMPONENT as RATINGS
+from marigoldhoist.components.retries.const import COMPONENT as RETRIES
 from marigoldhoist.components.routing.const import COMPONENT as ROUTING
 from marigoldhoist.components.streams.const import COMPONENT as STREAMS
 from marigoldhoist.components.table.const import COMPONENT as TABLE
@@ -14,7 +15,16 @@
 
 @component(
     COMPONENT,
-    needs=(BILLING, QUALITY, RATINGS, ROUTING, STREAMS, TABLE, UPSTREAMS),
+    needs=(
+        BILLING,
+        QUALITY,
+        RATINGS,
+        RETRIES,
+        ROUTING,
+        STREAMS,
+        TABLE,
+        UPSTREAMS,
+    ),
 )
 def set_up(kernel: Kernel) -> DispatchService:
     """Create the dispatch service."""
--- a/marigoldhoist/components/dispatch/relaying.py
+++ b/marigoldhoist/components/dispatch/relaying.py
@@ -10,6 +10,7 @@
 from marigoldhoist.components.billing.service import BillingService
 from marigoldhoist.components.dispatch.bodies import (
     OnEnd,
+    Resume,
     StreamBody,
     StreamEnd,
 )
@@ -54,7 +55,11 @@
         self._no_progress_s = no_progress_s
 
     def body(
-        self, passage: Passage, version: str, answer: UpstreamAnswer
+        self,
+        passage: Passage,
+        version: str,
+        answer: UpstreamAnswer,
+        resume: Resume,
     ) -> Iterator[bytes]:
         """Return the answer's body, which bills the answer at its end.
 
@@ -78,7 +83,7 @@
 
         if answer.is_event_stream:
             return StreamBody(
-                answer, self._streams, self._no_progress_s, finish
+                answer, self._streams, self._no_progress_s, finish, resume
             )
         return _whole_body(answer, finish)
 
