--- a/tools/bench/policy.py
+++ b/tools/bench/policy.py
@@ -11,7 +11,7 @@
 
 from marigoldhoist.core.errors import SettingsError
 from tools.bench.replay.rows import BenchRow, spread
-from tools.bench.replay.suite import Suite
+from tools.bench.replay.suite import REQUESTS, Suite
 from tools.bench.replay.workload import FOLDER, Workload, load_workload
 
 SHIPPED = ('zagreb', 'kigali', 'target')
@@ -56,20 +56,29 @@
 
 
 def bench(
-    workload: str = '', seed: int = 1, seeds: int = 1, json: bool = False
+    workload: str = '',
+    seed: int = 1,
+    seeds: int = 1,
+    json: bool = False,
+    scenario: str = '',
+    requests: int = REQUESTS,
 ) -> None:
     """Replay one workload file, or all that ship, with one or more seeds."""
     try:
         workloads = _workloads(workload)
     except SettingsError as error:
         sys.exit(f'{error}')
-    numbers = range(seed, seed + seeds)
+    suites = [
+        Suite(one, number, requests)
+        for one in workloads
+        for number in range(seed, seed + seeds)
+    ]
     if json:
-        for row in _rows(workloads, numbers):
+        for row in _rows(suites, scenario):
             line = msgspec.json.encode(row).decode()
             sys.stdout.write(f'{line}\n')
         return
-    _show(list(_rows(workloads, numbers)))
+    _show(list(_rows(suites, scenario)))
 
 
 def _workloads(path: str) -> list[Workload]:
@@ -78,10 +87,9 @@
     return [load_workload(FOLDER / f'{name}.json') for name in SHIPPED]
 
 
-def _rows(workloads: list[Workload], seeds: range) -> Iterator[BenchRow]:
-    for one in workloads:
-        for seed in seeds:
-            yield from Suite(one, seed).rows()
+def _rows(suites: list[Suite], scenario: str) -> Iterator[BenchRow]:
+    for suite in suites:
+        yield from suite.rows(scenario)
 
 
 def _show(rows: list[BenchRow]) -> None:
--- a/tools/bench/replay/suite.py
+++ b/tools/bench/replay/suite.py
@@ -33,15 +33,17 @@
 
     workload: Workload
     seed: int
+    requests: int = REQUESTS
 
-    def rows(self) -> Iterator[BenchRow]:
-        """Yield a row for each scenario and policy."""
+    def rows(self, only: str = '') -> Iterator[BenchRow]:
+        """Yield a row for each scenario, or for one, and each policy."""
         past = self.learner()
         recall(
             self.workload, past, PAST_ANSWERS, random.Random(f'{self.seed}past')
         )
-        for scenario in scenarios_by_name.values():
-            yield from self.scenario_rows(scenario, past)
+        for name, scenario in scenarios_by_name.items():
+            if only in ('', name):
+                yield from self.scenario_rows(scenario, past)
 
     def scenario_rows(
         self, scenario: Scenario, past: Learner
@@ -56,9 +58,9 @@
         stream = make_stream(
             workload,
             rate,
-            REQUESTS,
+            self.requests,
             self.seed,
-            scenario.flood(workload, REQUESTS / rate),
+            scenario.flood(workload, self.requests / rate),
         )
         learner = copy.deepcopy(self.learner() if scenario.is_cold else past)
         yield self._row(scenario, stream, learner.policy, learner)
