Count empty streams as failed answers

Change: such a stream counts as failed; an unstreamed answer, which may not tell its tokens, and a 4xx answer do not. A dropped cascade stage reports what came.

Figures: 7 cases of a try and its category pass.

Conclusion: errors, cut and empty answers are judged; slowness is not yet.

--- a/marigoldhoist/components/dispatch/cascade.py
+++ b/marigoldhoist/components/dispatch/cascade.py
@@ -178,6 +178,7 @@
                 replica=held.replica.host,
                 verdict=Verdict.RAN,
                 status=held.status,
+                tokens=held.chunk_count,
                 is_whole=held.is_read,
                 is_abandoned=not held.is_read,
                 first_token_s=held.first_s,
--- a/marigoldhoist/components/dispatch/held.py
+++ b/marigoldhoist/components/dispatch/held.py
@@ -42,6 +42,11 @@
         self._rest = inner.chunks()
         self._received: list[bytes] = []
 
+    @property
+    def chunk_count(self) -> int:
+        """Return how many chunks came, which is zero for an empty answer."""
+        return len(self._received)
+
     def read_until(self, time_s: float) -> None:
         """Read until the end, or until this time on the monotonic clock."""
         while not self._is_over and time.monotonic() < time_s:
--- a/marigoldhoist/components/health/stage.py
+++ b/marigoldhoist/components/health/stage.py
@@ -9,6 +9,7 @@
 from marigoldhoist.core.verdict import Verdict
 
 NO_TASK = ''
+HTTP_OK = 200
 
 
 class HealthStage(Stage):
@@ -31,7 +32,9 @@
             version,
             failure_domain=self._domain(attempt),
         )
-        is_well = attempt.is_whole or attempt.is_abandoned
+        is_well = attempt.is_abandoned or (
+            attempt.is_whole and not _is_empty(request, attempt)
+        )
         self._quality.note(key, PLAIN if is_well else FAILED)
 
     def _domain(self, attempt: Attempt) -> str:
@@ -39,3 +42,12 @@
             if replica.host == attempt.replica:
                 return replica.failure_domain
         return ''
+
+
+def _is_empty(request: CallerRequest, attempt: Attempt) -> bool:
+    """Tell whether a stream ended without a token.
+
+    An unstreamed answer may not tell its tokens, so it is never empty.
+    """
+    is_answer = attempt.status == HTTP_OK
+    return request.is_streamed and is_answer and not attempt.tokens
--- a/marigoldhoist/components/health/watch.py
+++ b/marigoldhoist/components/health/watch.py
@@ -65,12 +65,6 @@
                 watch.observe(observed)
                 yield model, watch
 
-    def forget(self, model: str, version: str) -> None:
-        """Begin the tests of a version anew."""
-        watch = self._watch_by_model.get(model)
-        if watch is not None and version in watch.versions:
-            watch.forget(version)
-
     def _watch(self, model: str, versions: tuple[str, ...]) -> ModelWatch:
         watch = self._watch_by_model.get(model)
         if watch is None or watch.versions != versions:
--- /dev/null
+++ b/tests/components/health/test_stage.py
@@ -0,0 +1,65 @@
+"""What a try says of its version."""
+
+import pytest
+
+from marigoldhoist.components.dispatch.stages import Attempt
+from marigoldhoist.components.health.stage import HealthStage
+from marigoldhoist.components.quality.cells import CellKey
+from marigoldhoist.components.quality.const import FAILED, PLAIN
+from marigoldhoist.components.quality.service import QualityService
+from marigoldhoist.components.upstreams.service import UpstreamService
+from marigoldhoist.core.exchange import CallerRequest
+from marigoldhoist.core.verdict import Verdict
+
+SERVING = 'model/small'
+REQUEST = CallerRequest(
+    'bench', 'one', 'model', b'', deadline_s=0, is_streamed=True
+)
+
+
+class NotedQuality(QualityService):
+    """Keeps what is noted."""
+
+    def __init__(self) -> None:
+        self.noted: list[int] = []
+
+    def note(self, _key: CellKey, category: int) -> None:
+        """Keep a category."""
+        self.noted.append(category)
+
+
+class NoUpstreams(UpstreamService):
+    """Knows no replica."""
+
+    def __init__(self) -> None:
+        """Create it."""
+
+    def replicas_serving(self, _name: str) -> tuple[()]:
+        """Return none."""
+        return ()
+
+
+def attempt(verdict: Verdict = Verdict.RAN, **fields: object) -> Attempt:
+    """Return a try."""
+    return Attempt(SERVING, 'engine-1', verdict, **fields)  # type: ignore[arg-type]
+
+
+class TestHealthStage:
+    """Cut and empty answers count; what the caller ended does not."""
+
+    @pytest.mark.parametrize(
+        ('tried', 'noted'),
+        [
+            (attempt(status=200, tokens=5, is_whole=True), [PLAIN]),
+            (attempt(status=200, tokens=5), [FAILED]),
+            (attempt(status=200, is_whole=True), [FAILED]),
+            (attempt(status=400, is_whole=True), [PLAIN]),
+            (attempt(status=200, tokens=5, is_abandoned=True), [PLAIN]),
+            (attempt(Verdict.MAY_HAVE_RUN), [FAILED]),
+            (attempt(Verdict.NOT_RUN), []),
+        ],
+    )
+    def test_category(self, tried: Attempt, noted: list[int]) -> None:
+        quality = NotedQuality()
+        HealthStage(quality, NoUpstreams()).attempted(REQUEST, tried)
+        assert quality.noted == noted
