--- a/marigoldhoist/components/dispatch/bodies.py
+++ b/marigoldhoist/components/dispatch/bodies.py
@@ -18,6 +18,8 @@
 from marigoldhoist.components.streams.errors import (
     CallerGoneError,
     StreamError,
+    UpstreamCutError,
+    UpstreamSilentError,
 )
 from marigoldhoist.components.streams.meter import EventMeter
 from marigoldhoist.components.streams.service import StreamService
@@ -42,6 +44,8 @@
 
 
 OnEnd = Callable[[StreamEnd], None]
+# Takes the tokens delivered and the broken answer; returns the rest, if any.
+Resume = Callable[[int, UpstreamAnswer], UpstreamAnswer | None]
 
 
 class StreamBody(Iterator[bytes]):
@@ -57,11 +61,14 @@
         streams: StreamService,
         no_progress_s: float,
         on_end: OnEnd,
+        resume: Resume,
     ) -> None:
         self._answer = answer
         self._streams = streams
         self._no_progress_s = no_progress_s
         self._on_end = on_end
+        self._resume = resume
+        self._tokens_before = 0
         self._events = self._iterate()
         self._is_begun = False
 
@@ -86,27 +93,55 @@
         if source is None:
             return self._relay_iterated(caller)
         self._is_begun = True
-        stream = RelayedStream(source, caller)
-        with contextlib.closing(self._answer):
-            self._copy(stream)
+        with contextlib.ExitStack() as closing:
+            closing.callback(self._close_answer)
+            stream = self._copy(RelayedStream(source, caller))
             is_sent = _send_end(caller, stream.failure)
             if stream.failure is None:
                 self._read_last_chunk(stream)
         return is_sent
 
-    def _copy(self, stream: RelayedStream) -> None:
+    def _copy(self, stream: RelayedStream) -> RelayedStream:
+        """Copy to the end, with the rest of a stream that broke off."""
+        first = stream
+        going_on: RelayedStream | None = stream
         try:
-            self._streams.relay(stream)
+            while going_on is not None:
+                stream = going_on
+                self._streams.relay(stream)
+                going_on = self._rest_of(stream)
         finally:
             is_whole = stream.ended.is_set() and stream.failure is None
+            tokens = self._tokens_before + stream.tokens
             self._on_end(
                 StreamEnd(
-                    stream.tokens,
+                    tokens,
                     is_whole,
-                    stream.first_token_s,
+                    first.first_token_s,
                     is_abandoned=isinstance(stream.failure, CallerGoneError),
                 )
             )
+        return stream
+
+    def _rest_of(self, broken: RelayedStream) -> RelayedStream | None:
+        if not isinstance(
+            broken.failure, UpstreamCutError | UpstreamSilentError
+        ):
+            return None
+        delivered = self._tokens_before + broken.tokens
+        rest = self._resume(delivered, self._answer)
+        if rest is None:
+            return None
+        self._close_answer()
+        self._answer = rest
+        source = rest.source(self._no_progress_s)
+        if source is None:
+            return None
+        self._tokens_before = delivered
+        return RelayedStream(source, broken.caller)
+
+    def _close_answer(self) -> None:
+        self._answer.close()
 
     def _relay_iterated(self, caller: socket.socket) -> bool:
         with contextlib.closing(self):
--- a/tools/standins/web.py
+++ b/tools/standins/web.py
@@ -40,6 +40,7 @@
     body: bytes | Iterable[bytes]
     status: int = 200
     content_type: str = 'application/json'
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class LostAnswerError(Exception):
@@ -66,6 +67,7 @@
         )
         self._server.shutdown_timeout = 0.2
         self.address = address
+        self.stopping = threading.Event()
 
     @property
     def port(self) -> int:
@@ -84,13 +86,14 @@
 
     def stop(self) -> None:
         """Stop serving."""
+        self.stopping.set()
         self._server.stop()
 
     def _answer(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         reply = self._handler(_read(environ))
-        headers = [('Content-Type', reply.content_type)]
+        headers = [('Content-Type', reply.content_type), *reply.headers]
         if isinstance(reply.body, bytes):
             headers.append(('Content-Length', str(len(reply.body))))
         start_response(STATUS_LINES[reply.status], headers)
