--- a/marigoldhoist/components/dispatch/service.py
+++ b/marigoldhoist/components/dispatch/service.py
@@ -125,4 +125,5 @@
             content_type=answer.content_type or JSON_TYPE,
             serving=serving_name(passage.request, version),
             body=self._relaying.body(passage, version, answer, resume),
+            session_token=self._routing.session_token(passage.request),
         )
--- a/marigoldhoist/components/entry/reader.py
+++ b/marigoldhoist/components/entry/reader.py
@@ -89,6 +89,7 @@
                 deadline_s=_deadline_s(deadline_ms),
                 session=environ.get('HTTP_X_SESSION', ''),
                 task=environ.get('HTTP_X_TASK', '')[:MAX_TASK_CHARS],
+                session_token=environ.get('HTTP_X_SESSION_TOKEN', ''),
                 is_streamed=chat.stream,
             ),
         )
--- a/marigoldhoist/components/routing/service.py
+++ b/marigoldhoist/components/routing/service.py
@@ -1,86 +1,91 @@
 """The routing service."""
 
-import dataclasses
-import random
 from collections.abc import Container
+from typing import Protocol
 
 from result import Err, Ok, Result
 
 from marigoldhoist.components.quality.const import COMPONENT as QUALITY
 from marigoldhoist.components.quality.service import QualityService
-from marigoldhoist.components.routing.const import (
-    DEFAULT_SERVICE_TIME_S,
-    PLAN_INTERVAL_S,
-    SLOTS_PER_BATCH,
-)
+from marigoldhoist.components.routing.const import PLAN_INTERVAL_S
 from marigoldhoist.components.routing.holds import Holds
 from marigoldhoist.components.routing.live import LiveCascades, ModelCascade
-from marigoldhoist.components.routing.loads import LoadContext, replica_views
-from marigoldhoist.components.routing.replicas import (
-    PickContext,
-    ReplicaView,
-    pick_replica,
-)
-from marigoldhoist.components.routing.subsets import replica_subset
+from marigoldhoist.components.routing.near import NearReplicas
+from marigoldhoist.components.routing.picking import ReplicaPicker
 from marigoldhoist.components.routing.versions import (
     pick_by_weight,
     usable_weights,
+    within_roll_out,
 )
+from marigoldhoist.components.routing.waits import least_load
 from marigoldhoist.components.table.const import COMPONENT as TABLE
 from marigoldhoist.components.table.service import TableService
 from marigoldhoist.components.upstreams.const import COMPONENT as UPSTREAMS
 from marigoldhoist.components.upstreams.models import Replica
 from marigoldhoist.components.upstreams.service import UpstreamService
-from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
 from marigoldhoist.core.exchange import CallerRequest
 from marigoldhoist.core.identity import DaemonSettings
 from marigoldhoist.core.kernel import BaseService, Kernel
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class KnownSubset:
-    """The usable replicas of a name and the subset chosen of them."""
+class SessionVersions(Protocol):
+    """Keeps sessions on their versions."""
 
-    usable: tuple[Replica, ...]
-    chosen: list[Replica]
+    def choose(self, request: CallerRequest) -> Result[str, RequestFailure]:
+        """Return the version of the request's session."""
+
+    def token_of(self, request: CallerRequest) -> str:
+        """Return the token of the request's session, empty for none."""
 
 
 class RoutingService(BaseService):
     """Chooses versions by the table and replicas by load."""
 
     def __init__(self, kernel: Kernel) -> None:
-        daemon = kernel.settings.section(DaemonSettings)
-        self._host = daemon.host
-        self._picking = PickContext(daemon.failure_domain, random.Random())
-        self._subset_by_serving: dict[str, KnownSubset] = {}
+        self._picker = ReplicaPicker(
+            kernel.settings.section(DaemonSettings),
+            kernel.find(UPSTREAMS, UpstreamService),
+        )
         self._table = kernel.find(TABLE, TableService)
-        self._upstreams = kernel.find(UPSTREAMS, UpstreamService)
         self._kernel = kernel
+        self._near = NearReplicas(self._picker.subset)
         self.cascades = LiveCascades()
         self.holds = Holds()
         kernel.find(QUALITY, QualityService).add_learner(self.cascades.observe)
+        self._sessions: SessionVersions | None = None
 
     def ready(self) -> None:
         """Begin to plan cascades."""
         self._kernel.spawn('cascades', self._plan)
 
+    def pin_sessions(self, sessions: SessionVersions) -> None:
+        """Let sessions decide for the requests that name one."""
+        self._sessions = sessions
+
+    def session_token(self, request: CallerRequest) -> str:
+        """Return the token that pins the request's session, or none."""
+        return self._sessions.token_of(request) if self._sessions else ''
+
     def choose_version(
         self, request: CallerRequest
     ) -> Result[str, RequestFailure]:
         """Choose a version; the same session or request gets the same one."""
+        if request.session and self._sessions:
+            return self._sessions.choose(request)
         model = request.target
         weights = self.holds.without_held(
             model,
             usable_weights(self._table.state, request.workspace, model),
         )
+        key = request.session or request.request_id
+        weights = within_roll_out(self._table.state.model(model), weights, key)
         if not weights:
             return Err(
                 RequestFailure(
                     ErrorCode.NO_VERSION, f'no version of {model} takes work'
                 )
             )
-        key = request.session or request.request_id
         return Ok(pick_by_weight(weights, key))
 
     def cascade(self, request: CallerRequest) -> ModelCascade | None:
@@ -109,10 +114,7 @@
         self, serving: str, tried: Container[str] = ()
     ) -> Result[Replica, RequestFailure]:
         """Choose a replica that serves the name and was not tried yet."""
-        replicas = self._subset(serving)
-        replica = self._pick(
-            [replica for replica in replicas if replica.host not in tried]
-        )
+        replica = self._picker.pick(serving, tried)
         if replica is None:
             return Err(
                 RequestFailure(
@@ -123,47 +125,15 @@
             )
         return Ok(replica)
 
-    def _subset(self, serving: str) -> list[Replica]:
-        """Return the daemon's subset, ranked anew only on a change."""
-        usable = self._upstreams.replicas_serving(serving)
-        known = self._subset_by_serving.get(serving)
-        if known is not None and known.usable == usable:
-            return known.chosen
-        chosen = replica_subset(
-            usable, self._host, self._picking.failure_domain
-        )
-        self._subset_by_serving[serving] = KnownSubset(usable, chosen)
-        return chosen
-
     def _expected_wait_s(
         self, serving: str, version: str, cascade: ModelCascade
     ) -> float | None:
-        replicas = self._subset(serving)
-        views = _views(replicas)
-        if not views:
+        replicas = self._near.of(serving)
+        least = least_load(replicas)
+        if least is None:
             return None
-        best = min(views, key=lambda view: view.use)
-        times = cascade.policy.times_by_version[version]
-        return times.wait_s(best.in_flight, best.slots * SLOTS_PER_BATCH)
+        return least.wait_s(cascade.policy.times_by_version[version])
 
     def _plan(self) -> None:
         while not self._kernel.stopping.wait(PLAN_INTERVAL_S):
             self.cascades.replan(self._table.state)
-
-    def _pick(self, replicas: list[Replica]) -> Replica | None:
-        views = _views(replicas)
-        picked = pick_replica(views, self._picking)
-        if picked is None:
-            return None
-        return next(one for one in replicas if one.host == picked.host)
-
-
-def _views(replicas: list[Replica]) -> list[ReplicaView]:
-    now_s = SYSTEM_CLOCK.monotonic_s()
-    for replica in replicas:
-        replica.wanted_s = now_s
-    context = LoadContext(
-        now_s=now_s,
-        service_time_s=DEFAULT_SERVICE_TIME_S,
-    )
-    return replica_views(replicas, context)
--- a/tools/standins/engine.py
+++ b/tools/standins/engine.py
@@ -72,6 +72,11 @@
         self._batch = Batch()
         self.server = WebServer(address, port, self.handle, threads=64)
 
+    @property
+    def running(self) -> int:
+        """Return how many answers are under way."""
+        return self._batch.counted(0).running
+
     def handle(self, request: WebRequest) -> WebReply:
         """Answer one request."""
         match request.path:
