--- a/marigoldhoist/components/routing/picking.py
+++ b/marigoldhoist/components/routing/choosing.py
@@ -1,13 +1,14 @@
-"""Pick replicas from this daemon's subset of those that are usable."""
+"""Choose among the replicas that serve a name."""
 
 import dataclasses
 import random
-from collections.abc import Container, Sequence
+from collections.abc import Container
 
 from marigoldhoist.components.routing.const import DEFAULT_SERVICE_TIME_S
 from marigoldhoist.components.routing.loads import LoadContext, replica_views
 from marigoldhoist.components.routing.replicas import (
     PickContext,
+    ReplicaView,
     pick_replica,
 )
 from marigoldhoist.components.routing.subsets import replica_subset
@@ -25,33 +26,19 @@
     chosen: list[Replica]
 
 
-class ReplicaPicker:
-    """Keeps the subset of each name while the usable replicas stay."""
+class ReplicaChooser:
+    """Picks replicas of the daemon's subset by load."""
 
     def __init__(
         self, daemon: DaemonSettings, upstreams: UpstreamService
     ) -> None:
-        self._host = daemon.host
-        self._context = PickContext(daemon.failure_domain, random.Random())
+        self._daemon = daemon
         self._upstreams = upstreams
+        self._picking = PickContext(daemon.failure_domain, random.Random())
         self._subset_by_serving: dict[str, KnownSubset] = {}
 
-    def pick(self, serving: str, tried: Container[str]) -> Replica | None:
-        """Pick a replica that was not tried, none where there is none."""
-        replicas = [
-            replica
-            for replica in self.subset(serving)
-            if replica.host not in tried
-        ]
-        load = LoadContext(SYSTEM_CLOCK.monotonic_s(), DEFAULT_SERVICE_TIME_S)
-        views = replica_views(replicas, load)
-        picked = pick_replica(views, self._context)
-        if picked is None:
-            return None
-        return next(one for one in replicas if one.host == picked.host)
-
     def subset(self, serving: str) -> list[Replica]:
-        """Return the daemon's replicas of a name; they are polled now on."""
+        """Return the daemon's replicas of a name; their loads get polled."""
         usable = self._upstreams.replicas_serving(serving)
         known = self._subset_by_serving.get(serving)
         if known is None or known.usable != usable:
@@ -62,5 +49,27 @@
             replica.wanted_s = now_s
         return known.chosen
 
-    def _ranked(self, usable: Sequence[Replica]) -> list[Replica]:
-        return replica_subset(usable, self._host, self._context.failure_domain)
+    def _ranked(self, usable: tuple[Replica, ...]) -> list[Replica]:
+        return replica_subset(
+            usable, self._daemon.host, self._daemon.failure_domain
+        )
+
+    def pick(self, serving: str, tried: Container[str]) -> Replica | None:
+        """Return a replica that was not tried, none where none is left."""
+        replicas = [
+            replica
+            for replica in self.subset(serving)
+            if replica.host not in tried
+        ]
+        picked = pick_replica(_views(replicas), self._picking)
+        if picked is None:
+            return None
+        return next(one for one in replicas if one.host == picked.host)
+
+
+def _views(replicas: list[Replica]) -> list[ReplicaView]:
+    context = LoadContext(
+        now_s=SYSTEM_CLOCK.monotonic_s(),
+        service_time_s=DEFAULT_SERVICE_TIME_S,
+    )
+    return replica_views(replicas, context)
--- a/marigoldhoist/components/routing/service.py
+++ b/marigoldhoist/components/routing/service.py
@@ -7,17 +7,16 @@
 
 from marigoldhoist.components.quality.const import COMPONENT as QUALITY
 from marigoldhoist.components.quality.service import QualityService
+from marigoldhoist.components.routing.choosing import ReplicaChooser
 from marigoldhoist.components.routing.const import PLAN_INTERVAL_S
 from marigoldhoist.components.routing.holds import Holds
 from marigoldhoist.components.routing.live import LiveCascades, ModelCascade
-from marigoldhoist.components.routing.near import NearReplicas
-from marigoldhoist.components.routing.picking import ReplicaPicker
 from marigoldhoist.components.routing.versions import (
     pick_by_weight,
     usable_weights,
     within_roll_out,
 )
-from marigoldhoist.components.routing.waits import least_load
+from marigoldhoist.components.routing.waits import NearReplicas, least_load
 from marigoldhoist.components.table.const import COMPONENT as TABLE
 from marigoldhoist.components.table.service import TableService
 from marigoldhoist.components.upstreams.const import COMPONENT as UPSTREAMS
@@ -43,13 +42,12 @@
     """Chooses versions by the table and replicas by load."""
 
     def __init__(self, kernel: Kernel) -> None:
-        self._picker = ReplicaPicker(
-            kernel.settings.section(DaemonSettings),
-            kernel.find(UPSTREAMS, UpstreamService),
-        )
+        daemon = kernel.settings.section(DaemonSettings)
+        upstreams = kernel.find(UPSTREAMS, UpstreamService)
         self._table = kernel.find(TABLE, TableService)
         self._kernel = kernel
-        self._near = NearReplicas(self._picker.subset)
+        self._chooser = ReplicaChooser(daemon, upstreams)
+        self._near = NearReplicas(self._chooser.subset)
         self.cascades = LiveCascades()
         self.holds = Holds()
         kernel.find(QUALITY, QualityService).add_learner(self.cascades.observe)
@@ -114,7 +112,7 @@
         self, serving: str, tried: Container[str] = ()
     ) -> Result[Replica, RequestFailure]:
         """Choose a replica that serves the name and was not tried yet."""
-        replica = self._picker.pick(serving, tried)
+        replica = self._chooser.pick(serving, tried)
         if replica is None:
             return Err(
                 RequestFailure(
@@ -128,8 +126,7 @@
     def _expected_wait_s(
         self, serving: str, version: str, cascade: ModelCascade
     ) -> float | None:
-        replicas = self._near.of(serving)
-        least = least_load(replicas)
+        least = least_load(self._near.of(serving))
         if least is None:
             return None
         return least.wait_s(cascade.policy.times_by_version[version])
--- a/marigoldhoist/components/table/models.py
+++ b/marigoldhoist/components/table/models.py
@@ -117,8 +117,8 @@
 
     weights_by_version: dict[str, Share]
     cascade: tuple[str, ...] = ()
-    limits: LimitColumns = LimitColumns()
     roll_out: RollOut | None = None
+    limits: LimitColumns = LimitColumns()
 
 
 class VersionRow(Row, frozen=True):
