--- a/marigoldhoist/components/routing/choosing.py
+++ b/marigoldhoist/components/routing/choosing.py
@@ -38,16 +38,21 @@
         self._subset_by_serving: dict[str, KnownSubset] = {}
 
     def subset(self, serving: str) -> list[Replica]:
-        """Return the daemon's subset, ranked anew only on a change."""
+        """Return the daemon's replicas of a name; their loads get polled."""
         usable = self._upstreams.replicas_serving(serving)
         known = self._subset_by_serving.get(serving)
-        if known is not None and known.usable == usable:
-            return known.chosen
-        chosen = replica_subset(
+        if known is None or known.usable != usable:
+            known = KnownSubset(usable, self._ranked(usable))
+            self._subset_by_serving[serving] = known
+        now_s = SYSTEM_CLOCK.monotonic_s()
+        for replica in known.chosen:
+            replica.wanted_s = now_s
+        return known.chosen
+
+    def _ranked(self, usable: tuple[Replica, ...]) -> list[Replica]:
+        return replica_subset(
             usable, self._daemon.host, self._daemon.failure_domain
         )
-        self._subset_by_serving[serving] = KnownSubset(usable, chosen)
-        return chosen
 
     def pick(self, serving: str, tried: Container[str]) -> Replica | None:
         """Return a replica that was not tried, none where none is left."""
@@ -63,11 +68,8 @@
 
 
 def _views(replicas: list[Replica]) -> list[ReplicaView]:
-    now_s = SYSTEM_CLOCK.monotonic_s()
-    for replica in replicas:
-        replica.wanted_s = now_s
     context = LoadContext(
-        now_s=now_s,
+        now_s=SYSTEM_CLOCK.monotonic_s(),
         service_time_s=DEFAULT_SERVICE_TIME_S,
     )
     return replica_views(replicas, context)
