Let sessions heed holds and roll-outs; test a paused holder of an order

Nothing provoked a holder that is paused between its claim and its call.

A test pauses a holder past its deadline and retries at the other host.

Conclusion: a paused holder answers not run, frees its order, and the retry runs once.

--- /dev/null
+++ b/marigoldhoist/components/routing/rules.py
@@ -0,0 +1,73 @@
+"""Which versions a workspace may get now, and whom a key gets."""
+
+from typing import Protocol
+
+from result import Result
+
+from marigoldhoist.components.routing.holds import Holds
+from marigoldhoist.components.routing.versions import (
+    pick_by_weight,
+    usable_weights,
+    within_roll_out,
+)
+from marigoldhoist.components.table.state import TableState
+from marigoldhoist.core.errors import RequestFailure
+from marigoldhoist.core.exchange import CallerRequest
+
+
+class TableHolder(Protocol):
+    """Whoever holds the table in force."""
+
+    @property
+    def state(self) -> TableState:
+        """Return the table in force."""
+
+
+class SessionVersions(Protocol):
+    """Keeps sessions on their versions."""
+
+    def choose(self, request: CallerRequest) -> Result[str, RequestFailure]:
+        """Return the version of the request's session."""
+
+    def token_of(self, request: CallerRequest) -> str:
+        """Return the token of the request's session, empty for none."""
+
+
+class VersionRules:
+    """The table's rules, and the holds that it does not show yet."""
+
+    def __init__(self, table: TableHolder, holds: Holds) -> None:
+        self._table = table
+        self._holds = holds
+
+    @property
+    def state(self) -> TableState:
+        """Return the table in force."""
+        return self._table.state
+
+    def is_usable(self, workspace: str, model: str, version: str) -> bool:
+        """Tell whether the workspace may be given the version now."""
+        state = self.state
+        row = state.workspace(workspace)
+        return (
+            row is not None
+            and row.allows(model, version)
+            and state.takes_work(model, version)
+            and not self._is_held(workspace, model, version)
+        )
+
+    def pick(self, workspace: str, model: str, key: str) -> str:
+        """Return the version that a key gets by weight, empty for none."""
+        weights = self._weights(workspace, model)
+        weights = within_roll_out(self.state.model(model), weights, key)
+        return pick_by_weight(weights, key) if weights else ''
+
+    def _is_held(self, workspace: str, model: str, version: str) -> bool:
+        # Where every version is held, the holds do not count.
+        return self._holds.is_held(
+            model, version
+        ) and version not in self._weights(workspace, model)
+
+    def _weights(self, workspace: str, model: str) -> dict[str, int]:
+        weights = usable_weights(self.state, workspace, model)
+        return self._holds.without_held(model, weights)
--- a/marigoldhoist/components/routing/service.py
+++ b/marigoldhoist/components/routing/service.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Container
-from typing import Protocol
 
 from result import Err, Ok, Result
 
@@ -21,12 +20,11 @@
     ReplicaView,
     pick_replica,
 )
-from marigoldhoist.components.routing.subsets import replica_subset
-from marigoldhoist.components.routing.versions import (
-    pick_by_weight,
-    usable_weights,
-    within_roll_out,
+from marigoldhoist.components.routing.rules import (
+    SessionVersions,
+    VersionRules,
 )
+from marigoldhoist.components.routing.subsets import replica_subset
 from marigoldhoist.components.routing.waits import least_load
 from marigoldhoist.components.table.const import COMPONENT as TABLE
 from marigoldhoist.components.table.service import TableService
@@ -40,16 +38,6 @@
 from marigoldhoist.core.kernel import BaseService, Kernel
 
 
-class SessionVersions(Protocol):
-    """Keeps sessions on their versions."""
-
-    def choose(self, request: CallerRequest) -> Result[str, RequestFailure]:
-        """Return the version of the request's session."""
-
-    def token_of(self, request: CallerRequest) -> str:
-        """Return the token of the request's session, empty for none."""
-
-
 class RoutingService(BaseService):
     """Chooses versions by the table and replicas by load."""
 
@@ -63,6 +51,7 @@
         self._near = NearReplicas(self._subset)
         self.cascades = LiveCascades()
         self.holds = Holds()
+        self.rules = VersionRules(self._table, self.holds)
         kernel.find(QUALITY, QualityService).add_learner(self.cascades.observe)
         self._sessions: SessionVersions | None = None
 
@@ -85,19 +74,15 @@
         if request.session and self._sessions:
             return self._sessions.choose(request)
         model = request.target
-        weights = self.holds.without_held(
-            model,
-            usable_weights(self._table.state, request.workspace, model),
-        )
         key = request.session or request.request_id
-        weights = within_roll_out(self._table.state.model(model), weights, key)
-        if not weights:
+        version = self.rules.pick(request.workspace, model, key)
+        if not version:
             return Err(
                 RequestFailure(
                     ErrorCode.NO_VERSION, f'no version of {model} takes work'
                 )
             )
-        return Ok(pick_by_weight(weights, key))
+        return Ok(version)
 
     def cascade(self, request: CallerRequest) -> ModelCascade | None:
         """Return the cascade for a request; a session stays on one version."""
--- a/marigoldhoist/components/sessions/choice.py
+++ b/marigoldhoist/components/sessions/choice.py
@@ -1,44 +1,29 @@
-"""Compute the version of a session from the table alone."""
+"""Compute the version of a session without its pin."""
 
-from marigoldhoist.components.routing.versions import (
-    pick_by_weight,
-    usable_weights,
-)
+from marigoldhoist.components.routing.rules import VersionRules
 from marigoldhoist.components.sessions.models import Pin, SessionKey
-from marigoldhoist.components.table.state import TableState
 
 
-def is_usable(state: TableState, key: SessionKey, version: str) -> bool:
-    """Tell whether the session's workspace may use the version now."""
-    workspace = state.workspace(key.workspace)
-    return (
-        workspace is not None
-        and workspace.allows(key.model, version)
-        and state.takes_work(key.model, version)
-    )
-
-
-def operators_version(state: TableState, key: SessionKey) -> str:
+def operators_version(rules: VersionRules, key: SessionKey) -> str:
     """Return the version of the session's row, empty where none is usable."""
-    row = state.session(key.workspace, key.session)
+    row = rules.state.session(key.workspace, key.session)
     if row is None or row.model != key.model:
         return ''
-    return row.version if is_usable(state, key, row.version) else ''
+    is_usable = rules.is_usable(key.workspace, key.model, row.version)
+    return row.version if is_usable else ''
 
 
-def first_version(state: TableState, key: SessionKey) -> str:
+def first_version(rules: VersionRules, key: SessionKey) -> str:
     """Return a new session's version, empty where none takes work."""
-    weights = usable_weights(state, key.workspace, key.model)
-    if not weights:
-        return ''
-    return pick_by_weight(weights, f'{key.workspace}\0{key.session}')
+    name = f'{key.workspace}\0{key.session}'
+    return rules.pick(key.workspace, key.model, name)
 
 
-def successor(state: TableState, pin: Pin) -> str:
+def successor(rules: VersionRules, pin: Pin) -> str:
     """Return the version that follows an unusable one, empty for none."""
-    following = state.successor_of(
+    following = rules.state.successor_of(
         pin.workspace, pin.model, pin.version, pin.session
     )
-    if following and is_usable(state, pin.key, following):
+    if following and rules.is_usable(pin.workspace, pin.model, following):
         return following
-    return first_version(state, pin.key)
+    return first_version(rules, pin.key)
--- a/marigoldhoist/components/sessions/chooser.py
+++ b/marigoldhoist/components/sessions/chooser.py
@@ -1,19 +1,18 @@
 """Choose the version of a request that names a session."""
 
-from typing import Final, Protocol
+from typing import Final
 
 from result import Err, Ok, Result
 
+from marigoldhoist.components.routing.rules import VersionRules
 from marigoldhoist.components.sessions.choice import (
     first_version,
-    is_usable,
     operators_version,
     successor,
 )
 from marigoldhoist.components.sessions.models import Pin, SessionKey
 from marigoldhoist.components.sessions.pins import Pins
 from marigoldhoist.components.sessions.tokens import SessionTokens
-from marigoldhoist.components.table.state import TableState
 from marigoldhoist.core.clock import SYSTEM_CLOCK, Clock
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
 from marigoldhoist.core.exchange import CallerRequest
@@ -21,27 +20,19 @@
 MAX_MOVES: Final = 3
 
 
-class TableHolder(Protocol):
-    """Whoever holds the table in force."""
-
-    @property
-    def state(self) -> TableState:
-        """Return the table in force."""
-
-
 class SessionChooser:
     """Follows the operator's row, then the pin, then a first choice."""
 
     def __init__(
         self,
         host: str,
-        table: TableHolder,
+        rules: VersionRules,
         pins: Pins,
         tokens: SessionTokens,
         clock: Clock = SYSTEM_CLOCK,
     ) -> None:
         self._host = host
-        self._table = table
+        self._rules = rules
         self._pins = pins
         self._tokens = tokens
         self._clock = clock
@@ -49,7 +40,7 @@
     def choose(self, request: CallerRequest) -> Result[str, RequestFailure]:
         """Return the version of the request's session."""
         key = _key_of(request)
-        named = operators_version(self._table.state, key)
+        named = operators_version(self._rules, key)
         if named:
             return Ok(named)
         pin = self._known(key, request) or self._first(key)
@@ -86,16 +77,16 @@
         return None
 
     def _is_usable(self, pin: Pin) -> bool:
-        return is_usable(self._table.state, pin.key, pin.version)
+        return self._rules.is_usable(pin.workspace, pin.model, pin.version)
 
     def _first(self, key: SessionKey) -> Pin | None:
-        version = first_version(self._table.state, key)
+        version = first_version(self._rules, key)
         if not version:
             return None
         return self._pins.propose(self._new_pin(key, version))
 
     def _move(self, pin: Pin) -> Pin | None:
-        version = successor(self._table.state, pin)
+        version = successor(self._rules, pin)
         if not version:
             return None
         return self._pins.propose(self._new_pin(pin.key, version, pin))
--- a/marigoldhoist/components/sessions/service.py
+++ b/marigoldhoist/components/sessions/service.py
@@ -30,8 +30,6 @@
 from marigoldhoist.components.sessions.pins import Pins, encode_pin
 from marigoldhoist.components.sessions.settings import SessionSettings
 from marigoldhoist.components.sessions.tokens import SessionTokens
-from marigoldhoist.components.table.const import COMPONENT as TABLE
-from marigoldhoist.components.table.service import TableService
 from marigoldhoist.core.identity import DaemonSettings
 from marigoldhoist.core.kernel import BaseService, Kernel
 
@@ -82,13 +80,14 @@
         feed.add_fold(self.pins.apply)
         feed.add_part(COMPONENT, self.pins.fold.dump, self.pins.fold.restore)
         key = kernel.settings.section(PeerSettings).read_key()
+        routing = kernel.find(ROUTING, RoutingService)
         chooser = SessionChooser(
             daemon.host,
-            kernel.find(TABLE, TableService),
+            routing.rules,
             self.pins,
             SessionTokens(key, settings.ttl_ms),
         )
-        kernel.find(ROUTING, RoutingService).pin_sessions(chooser)
+        routing.pin_sessions(chooser)
 
     def start(self) -> None:
         """Answer peers and begin to append pins."""
--- a/tests/components/claims/test_machine.py
+++ b/tests/components/claims/test_machine.py
@@ -132,7 +132,7 @@
         self.log.pause(hours * HOUR_MS)
 
     @invariant()
-    def at_most_once(self) -> None:
+    def runs_at_most_once(self) -> None:
         assert all(count <= 1 for count in self.runs.values())
 
     @invariant()
--- a/tests/components/claims/test_whole.py
+++ b/tests/components/claims/test_whole.py
@@ -8,10 +8,14 @@
 
 import pytest
 
+from marigoldhoist.components.dispatch.service import DispatchService
+from marigoldhoist.components.dispatch.stages import Stage
+from marigoldhoist.components.table.service import TableService
+from marigoldhoist.core.exchange import CallerRequest
 from tools.standins.log import LogFaults
 from tools.standins.plain import PlainFaults
 from tools.world.caller import Caller, CallerReply
-from tools.world.samples import WORKSPACE_KEY
+from tools.world.samples import WORKSPACE_KEY, change_of
 from tools.world.world import World, wait_until
 
 
@@ -28,6 +32,25 @@
         yield started
 
 
+class Pause(Stage):
+    """Pauses a request between its claim and its call."""
+
+    def __init__(self, pause_s: float) -> None:
+        self._pause_s = pause_s
+
+    def admit(self, _request: CallerRequest) -> None:
+        """Pause."""
+        time.sleep(self._pause_s)
+
+
+def has_revision(world: World, offset: int) -> bool:
+    """Tell whether every daemon has that table."""
+    return all(
+        kernel.find('table', TableService).state.revision == offset
+        for kernel in world.kernels_by_host.values()
+    )
+
+
 def new_id() -> str:
     """Return a UUIDv7 of now."""
     now_ms = int(time.time() * 1000)
@@ -102,6 +125,32 @@
         )
         assert len(world.plain_by_host['plain-1'].calls) == 1
 
+    def test_holder_paused_past_its_deadline(self, world: World) -> None:
+        kernel = world.kernels_by_host['entry-1']
+        pause = Pause(1.2)
+        kernel.find('dispatch', DispatchService).add_stage(50, pause)
+        offset = world.change_table(
+            change_of(
+                {
+                    'service/pult-narudzbe': {
+                        'non_repeatable_paths': ['/deposits'],
+                        'timeout_ms': 1000,
+                    }
+                },
+                base_revision=0,
+            )
+        )
+        wait_until(lambda: has_revision(world, offset), 'the timeout')
+        request_id = new_id()
+        reply = order(world, 'entry-1', request_id)
+        assert (reply.status, reply.verdict) == (504, 'not_run')
+        assert not world.plain_by_host['plain-1'].calls
+        wait_until(
+            lambda: order(world, 'entry-2', request_id).status == 200,
+            'the retry elsewhere',
+        )
+        assert len(world.plain_by_host['plain-1'].calls) == 1
+
     def test_lost_append_answers(self, world: World) -> None:
         world.set_log_faults(LogFaults(lose_append_answer=0.5))
         ids = [new_id() for _ in range(6)]
--- a/tests/components/sessions/hosts.py
+++ b/tests/components/sessions/hosts.py
@@ -6,6 +6,8 @@
 from marigoldhoist.components.platform_log.feed import Feed
 from marigoldhoist.components.platform_log.models import Record
 from marigoldhoist.components.platform_log.work_writer import Appended
+from marigoldhoist.components.routing.holds import Holds
+from marigoldhoist.components.routing.rules import VersionRules
 from marigoldhoist.components.sessions.chooser import SessionChooser
 from marigoldhoist.components.sessions.models import Pin, SessionKey
 from marigoldhoist.components.sessions.pins import Pins
@@ -109,13 +111,18 @@
     def __init__(self, name: str, log: FakeLog, table: FakeTable) -> None:
         feed = Feed('work')
         self.table = table
+        self.holds = Holds()
         self.writer = PinWriter(log, feed)
         self.gossip = FakeGossip()
         self.pins = Pins(SETTINGS, feed, self.writer, self.gossip)
         feed.add_fold(self.pins.apply)
         tokens = SessionTokens(KEY, SETTINGS.ttl_ms)
         self.chooser = SessionChooser(
-            name, table, self.pins, tokens, HostClock(log)
+            name,
+            VersionRules(table, self.holds),
+            self.pins,
+            tokens,
+            HostClock(log),
         )
 
     def ask(self, request: CallerRequest) -> str:
--- a/tests/components/sessions/test_chooser.py
+++ b/tests/components/sessions/test_chooser.py
@@ -132,6 +132,14 @@
         assert pair.second.ask(request('quote')) == 'large'
         assert pair.first.ask(request('quote')) == 'large'
 
+    def test_leaves_a_version_held_by_health(self, pair: Pair) -> None:
+        pair.table.weights = only('small')
+        assert pair.first.ask(request('quote')) == 'small'
+        pair.table.weights = only('small') | {'large': 1}
+        pair.first.holds.hold(MODEL, 'small')
+        assert pair.first.ask(request('quote')) == 'large'
+        assert pair.second.ask(request('quote')) == 'large'
+
 
 class TestSnapshot:
     """A snapshot carries every pin."""
