--- a/marigoldhoist/components/dispatch/service.py
+++ b/marigoldhoist/components/dispatch/service.py
@@ -22,8 +22,6 @@
 from marigoldhoist.components.table.const import COMPONENT as TABLE
 from marigoldhoist.components.table.service import TableService
 from marigoldhoist.components.upstreams.answer import UpstreamAnswer
-from marigoldhoist.components.upstreams.const import COMPONENT as UPSTREAMS
-from marigoldhoist.components.upstreams.service import UpstreamService
 from marigoldhoist.components.upstreams.settings import UpstreamSettings
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
 from marigoldhoist.core.exchange import Answer, CallerRequest
@@ -40,11 +38,7 @@
     def __init__(self, kernel: Kernel) -> None:
         self._table = kernel.find(TABLE, TableService)
         self._routing = kernel.find(ROUTING, RoutingService)
-        self._attempts = Attempts(
-            self._table,
-            self._routing,
-            kernel.find(UPSTREAMS, UpstreamService),
-        )
+        self._attempts = Attempts(kernel)
         self._relaying = Relaying(
             kernel.settings.section(DaemonSettings).host,
             self._table,
@@ -121,10 +115,15 @@
     def _answered(
         self, passage: Passage, version: str, answer: UpstreamAnswer
     ) -> Answer:
+        def resume(
+            delivered: int, broken: UpstreamAnswer
+        ) -> UpstreamAnswer | None:
+            return self._attempts.resume(passage, version, delivered, broken)
+
         return Answer(
             status=answer.status,
             content_type=answer.content_type or JSON_TYPE,
             serving=serving_name(passage.request, version),
-            body=self._relaying.body(passage, version, answer),
+            body=self._relaying.body(passage, version, answer, resume),
             session_token=self._routing.session_token(passage.request),
         )
--- a/marigoldhoist/components/routing/service.py
+++ b/marigoldhoist/components/routing/service.py
@@ -1,37 +1,25 @@
 """The routing service."""
 
-import random
 from collections.abc import Container
 
 from result import Err, Ok, Result
 
 from marigoldhoist.components.quality.const import COMPONENT as QUALITY
 from marigoldhoist.components.quality.service import QualityService
-from marigoldhoist.components.routing.const import (
-    DEFAULT_SERVICE_TIME_S,
-    PLAN_INTERVAL_S,
-)
+from marigoldhoist.components.routing.choosing import ReplicaChooser
+from marigoldhoist.components.routing.const import PLAN_INTERVAL_S
 from marigoldhoist.components.routing.holds import Holds
 from marigoldhoist.components.routing.live import LiveCascades, ModelCascade
-from marigoldhoist.components.routing.loads import LoadContext, replica_views
-from marigoldhoist.components.routing.near import NearReplicas
-from marigoldhoist.components.routing.replicas import (
-    PickContext,
-    ReplicaView,
-    pick_replica,
-)
 from marigoldhoist.components.routing.rules import (
     SessionVersions,
     VersionRules,
 )
-from marigoldhoist.components.routing.subsets import replica_subset
-from marigoldhoist.components.routing.waits import least_load
+from marigoldhoist.components.routing.waits import NearReplicas, least_load
 from marigoldhoist.components.table.const import COMPONENT as TABLE
 from marigoldhoist.components.table.service import TableService
 from marigoldhoist.components.upstreams.const import COMPONENT as UPSTREAMS
 from marigoldhoist.components.upstreams.models import Replica
 from marigoldhoist.components.upstreams.service import UpstreamService
-from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
 from marigoldhoist.core.exchange import CallerRequest
 from marigoldhoist.core.identity import DaemonSettings
@@ -43,12 +31,11 @@
 
     def __init__(self, kernel: Kernel) -> None:
         daemon = kernel.settings.section(DaemonSettings)
-        self._host = daemon.host
-        self._picking = PickContext(daemon.failure_domain, random.Random())
+        upstreams = kernel.find(UPSTREAMS, UpstreamService)
         self._table = kernel.find(TABLE, TableService)
-        self._upstreams = kernel.find(UPSTREAMS, UpstreamService)
         self._kernel = kernel
-        self._near = NearReplicas(self._subset)
+        self._chooser = ReplicaChooser(daemon, upstreams)
+        self._near = NearReplicas(self._chooser.subset)
         self.cascades = LiveCascades()
         self.holds = Holds()
         self.rules = VersionRules(self._table, self.holds)
@@ -110,14 +97,7 @@
         self, serving: str, tried: Container[str] = ()
     ) -> Result[Replica, RequestFailure]:
         """Choose a replica that serves the name and was not tried yet."""
-        replicas = replica_subset(
-            self._upstreams.replicas_serving(serving),
-            self._host,
-            self._picking.failure_domain,
-        )
-        replica = self._pick(
-            [replica for replica in replicas if replica.host not in tried]
-        )
+        replica = self._chooser.pick(serving, tried)
         if replica is None:
             return Err(
                 RequestFailure(
@@ -131,34 +111,11 @@
     def _expected_wait_s(
         self, serving: str, version: str, cascade: ModelCascade
     ) -> float | None:
-        replicas = self._near.of(serving)
-        least = least_load(replicas)
+        least = least_load(self._near.of(serving))
         if least is None:
             return None
         return least.wait_s(cascade.policy.times_by_version[version])
 
-    def _subset(self, serving: str) -> list[Replica]:
-        return replica_subset(
-            self._upstreams.replicas_serving(serving),
-            self._host,
-            self._picking.failure_domain,
-        )
-
     def _plan(self) -> None:
         while not self._kernel.stopping.wait(PLAN_INTERVAL_S):
             self.cascades.replan(self._table.state)
-
-    def _pick(self, replicas: list[Replica]) -> Replica | None:
-        views = _views(replicas)
-        picked = pick_replica(views, self._picking)
-        if picked is None:
-            return None
-        return next(one for one in replicas if one.host == picked.host)
-
-
-def _views(replicas: list[Replica]) -> list[ReplicaView]:
-    context = LoadContext(
-        now_s=SYSTEM_CLOCK.monotonic_s(),
-        service_time_s=DEFAULT_SERVICE_TIME_S,
-    )
-    return replica_views(replicas, context)
--- a/tools/standins/engine.py
+++ b/tools/standins/engine.py
@@ -8,10 +8,13 @@
 
 import msgspec
 
+from tools.standins.batch import SLOTS, Batch
 from tools.standins.orders import OrderDesk
 from tools.standins.web import WebReply, WebRequest, WebServer, json_reply
 
 EVENT_STREAM = 'text/event-stream'
+MS_PER_S = 1000
+SILENCE_S = 3600
 
 
 class EngineFaults(msgspec.Struct):
@@ -21,6 +24,10 @@
     cut_after_tokens: int = 0
     silent_after_tokens: int = 0
     is_fencing_ignored: bool = False
+    is_leaving: bool = False
+    is_resume_ignored: bool = False
+    late_first_token_s: float = 0
+    load_lag_s: float = 0
     doubt_by_serving: dict[str, float] = {}
 
 
@@ -31,6 +38,8 @@
     time_s: float
     request_id: str
     serving: str
+    resume_from: int = 0
+    priority: int = 0
 
 
 class ChatRequest(msgspec.Struct):
@@ -57,14 +66,16 @@
         self.served: list[ServedRequest] = []
         self._token_time_s = token_time_s
         self._first_token_s = first_token_s
+        self.cancelled: set[str] = set()
+        self.failed = 0
         self._lock = threading.Lock()
-        self._running = 0
+        self._batch = Batch()
         self.server = WebServer(address, port, self.handle, threads=64)
 
     @property
     def running(self) -> int:
         """Return how many answers are under way."""
-        return self._running
+        return self._batch.counted(0).running
 
     def handle(self, request: WebRequest) -> WebReply:
         """Answer one request."""
@@ -74,7 +85,9 @@
             case '/served':
                 return json_reply(self.served)
             case '/load':
-                return json_reply({'running': self._running})
+                return self._load()
+            case '/cancel':
+                return self._cancel(request)
             case '/orders':
                 ignored = self.faults.is_fencing_ignored
                 return self.orders.handle(request, ignored)
@@ -86,19 +99,52 @@
         self.faults = msgspec.json.decode(request.body, type=EngineFaults)
         return json_reply(self.faults)
 
+    def _load(self) -> WebReply:
+        counted = self._batch.counted(self.faults.load_lag_s)
+        return json_reply(
+            {
+                'running': counted.running,
+                'waiting': counted.waiting,
+                'slots': SLOTS,
+                'age_ms': int(self.faults.load_lag_s * MS_PER_S),
+                'leaving': self.faults.is_leaving,
+            }
+        )
+
+    def _cancel(self, request: WebRequest) -> WebReply:
+        fields = msgspec.json.decode(request.body)
+        with self._lock:
+            self.cancelled.add(fields['request_id'])
+        return json_reply({})
+
     def _chat(self, request: WebRequest) -> WebReply:
         chat = msgspec.json.decode(request.body, type=ChatRequest)
+        if self.faults.is_leaving:
+            return WebReply(b'', 503, headers=(('X-Leaving', 'true'),))
         if self.faults.fail_all:
+            self.failed += 1
             return json_reply({'error': 'engine failed'}, 500)
         request_id = request.headers.get('x-request-id', '')
+        resume_from = 0
+        if not self.faults.is_resume_ignored:
+            resume_from = int(request.headers.get('x-resume-from', 0))
+        served = ServedRequest(
+            time_s=time.time(),
+            request_id=request_id,
+            serving=chat.model,
+            resume_from=resume_from,
+            priority=int(request.headers.get('x-priority', 0)),
+        )
         with self._lock:
-            self.served.append(
-                ServedRequest(time.time(), request_id, chat.model)
-            )
+            self.served.append(served)
         words = [f'{request_id}:{number} ' for number in range(chat.max_tokens)]
         if chat.stream:
-            return WebReply(self._stream(chat, words), 200, EVENT_STREAM)
+            headers = (('X-Resumed-From', str(resume_from)),)
+            body = self._stream(chat, served, words)
+            return WebReply(body, 200, EVENT_STREAM, headers)
+        self._batch.enter(served.priority)
         time.sleep(self._first_token_s + self._token_time_s * len(words))
+        self._batch.leave()
         return json_reply(whole_answer(chat, words) | self._doubt(chat))
 
     def _part(
@@ -111,23 +157,33 @@
         doubt = self.faults.doubt_by_serving.get(chat.model)
         return {} if doubt is None else {'doubt': doubt}
 
-    def _stream(self, chat: ChatRequest, words: list[str]) -> Iterator[bytes]:
-        with self._lock:
-            self._running += 1
+    def _stream(
+        self, chat: ChatRequest, served: ServedRequest, words: list[str]
+    ) -> Iterator[bytes]:
+        self._batch.enter(served.priority)
         try:
-            time.sleep(self._first_token_s)
-            for number, word in enumerate(words, start=1):
-                is_last = number == len(words)
-                yield event(self._part(chat, word, is_last))
-                if number == self.faults.cut_after_tokens:
-                    raise ConnectionResetError('told to cut the stream')
-                if number == self.faults.silent_after_tokens:
-                    time.sleep(3600)
-                time.sleep(self._token_time_s)
-            yield b'data: [DONE]\n\n'
+            time.sleep(self._first_token_s + self.faults.late_first_token_s)
+            yield from self._words(chat, served, words)
         finally:
-            with self._lock:
-                self._running -= 1
+            self._batch.leave()
+
+    def _words(
+        self, chat: ChatRequest, served: ServedRequest, words: list[str]
+    ) -> Iterator[bytes]:
+        for number, word in enumerate(words, start=1):
+            if number <= served.resume_from:
+                continue
+            if served.request_id in self.cancelled:
+                return
+            is_last = number == len(words)
+            yield event(self._part(chat, word, is_last))
+            if number == self.faults.cut_after_tokens:
+                raise ConnectionResetError('told to cut the stream')
+            if number == self.faults.silent_after_tokens:
+                self.server.stopping.wait(SILENCE_S)
+                return
+            time.sleep(self._token_time_s * self._batch.slowdown())
+        yield b'data: [DONE]\n\n'
 
 
 def event(content: Any) -> bytes:
