--- a/marigoldhoist/components/routing/service.py
+++ b/marigoldhoist/components/routing/service.py
@@ -1,7 +1,6 @@
 """The routing service."""
 
 from collections.abc import Container
-from typing import Protocol
 
 from result import Err, Ok, Result
 
@@ -11,10 +10,9 @@
 from marigoldhoist.components.routing.const import PLAN_INTERVAL_S
 from marigoldhoist.components.routing.holds import Holds
 from marigoldhoist.components.routing.live import LiveCascades, ModelCascade
-from marigoldhoist.components.routing.versions import (
-    pick_by_weight,
-    usable_weights,
-    within_roll_out,
+from marigoldhoist.components.routing.rules import (
+    SessionVersions,
+    VersionRules,
 )
 from marigoldhoist.components.routing.waits import NearReplicas, least_load
 from marigoldhoist.components.table.const import COMPONENT as TABLE
@@ -28,16 +26,6 @@
 from marigoldhoist.core.kernel import BaseService, Kernel
 
 
-class SessionVersions(Protocol):
-    """Keeps sessions on their versions."""
-
-    def choose(self, request: CallerRequest) -> Result[str, RequestFailure]:
-        """Return the version of the request's session."""
-
-    def token_of(self, request: CallerRequest) -> str:
-        """Return the token of the request's session, empty for none."""
-
-
 class RoutingService(BaseService):
     """Chooses versions by the table and replicas by load."""
 
@@ -50,6 +38,7 @@
         self._near = NearReplicas(self._chooser.subset)
         self.cascades = LiveCascades()
         self.holds = Holds()
+        self.rules = VersionRules(self._table, self.holds)
         kernel.find(QUALITY, QualityService).add_learner(self.cascades.observe)
         self._sessions: SessionVersions | None = None
 
@@ -72,19 +61,15 @@
         if request.session and self._sessions:
             return self._sessions.choose(request)
         model = request.target
-        weights = self.holds.without_held(
-            model,
-            usable_weights(self._table.state, request.workspace, model),
-        )
         key = request.session or request.request_id
-        weights = within_roll_out(self._table.state.model(model), weights, key)
-        if not weights:
+        version = self.rules.pick(request.workspace, model, key)
+        if not version:
             return Err(
                 RequestFailure(
                     ErrorCode.NO_VERSION, f'no version of {model} takes work'
                 )
             )
-        return Ok(pick_by_weight(weights, key))
+        return Ok(version)
 
     def cascade(self, request: CallerRequest) -> ModelCascade | None:
         """Return the cascade for a request; a session stays on one version."""
