End every request: closing engines, failed tries, internal errors

Cause: an engine that closes its connection after an answer makes http.client take the socket off the connection; wait_for_body then failed, on the thread of a hedged try, and the race waited for that try for ever. Callers hung until their own timeout (20 s). Ruled out: bill copies to the killed daemon (bounded, and hung callers had no headers yet) and the planned stop (0.9 s alone).

Change: the socket is found through the buffered reader; a try that ends by an error ends its race; dispatch turns an internal error into an answer with may_have_run and settles the stages. Processes stop before the stand-ins that they need.

The new test hung for 60 s on the code before, and passes in 4 s.

Conclusion: no request waits for an answer that cannot come.

--- /dev/null
+++ b/marigoldhoist/components/dispatch/events.py
@@ -0,0 +1,10 @@
+"""Log events of the dispatch component."""
+
+from marigoldhoist.core.events import declare_event
+
+REQUEST_FAILED = declare_event(
+    1901,
+    'request_failed',
+    'error',
+    'A request ended by an internal error; it may have run.',
+)
--- a/marigoldhoist/components/dispatch/hedging.py
+++ b/marigoldhoist/components/dispatch/hedging.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from marigoldhoist.components.dispatch.errors import TryError
 from marigoldhoist.components.upstreams.answer import UpstreamAnswer
 from marigoldhoist.core.errors import RequestFailure
 
@@ -21,6 +22,7 @@
         self, attempt: Try, ended: 'queue.SimpleQueue[Runner]'
     ) -> None:
         self.outcome: Tried | None = None
+        self.error: Exception | None = None
         self._attempt = attempt
         self._ended = ended
         self._lock = threading.Lock()
@@ -35,13 +37,20 @@
         _close(outcome)
 
     def _run(self) -> None:
-        outcome = self._attempt()
+        # Whoever waits for the try must hear of its end, also by an error.
+        try:
+            self._keep(self._attempt())
+        except Exception as error:
+            self.error = error
+        finally:
+            self._ended.put(self)
+
+    def _keep(self, outcome: Tried) -> None:
         with self._lock:
             self.outcome = outcome
             is_abandoned = self._is_abandoned
         if is_abandoned:
             _close(outcome)
-        self._ended.put(self)
 
 
 def race(first: Try, delay_s: float, hedge: Callable[[], Try | None]) -> Tried:
@@ -83,7 +92,7 @@
 
 def _outcome(runner: Runner) -> Tried:
     if runner.outcome is None:
-        raise RuntimeError('a try ended without an outcome')
+        raise TryError('a try ended without an outcome') from runner.error
     return runner.outcome
 
 
--- a/marigoldhoist/components/dispatch/service.py
+++ b/marigoldhoist/components/dispatch/service.py
@@ -8,6 +8,7 @@
 from marigoldhoist.components.dispatch.calls import serving_name
 from marigoldhoist.components.dispatch.cascade import Cascade
 from marigoldhoist.components.dispatch.const import JSON_TYPE
+from marigoldhoist.components.dispatch.events import REQUEST_FAILED
 from marigoldhoist.components.dispatch.relaying import Relaying
 from marigoldhoist.components.dispatch.stages import (
     Outcome,
@@ -24,6 +25,7 @@
 from marigoldhoist.components.upstreams.answer import UpstreamAnswer
 from marigoldhoist.components.upstreams.settings import UpstreamSettings
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
+from marigoldhoist.core.events import emit
 from marigoldhoist.core.exchange import Answer, CallerRequest
 from marigoldhoist.core.identity import DaemonSettings
 from marigoldhoist.core.kernel import BaseService, Kernel
@@ -82,12 +84,25 @@
 
     def _pass_stages(self, request: CallerRequest, is_chat: bool) -> Answered:
         passage = self._stages.enter(request)
-        answered = self._answer(passage, is_chat)
+        answered = self._answer_or_fail(passage, is_chat)
         if isinstance(answered, Err):
             failure = answered.err_value
             passage.settle(Outcome(failure.verdict, failure=failure))
         return answered
 
+    def _answer_or_fail(self, passage: Passage, is_chat: bool) -> Answered:
+        # Whatever goes wrong here, the stages must learn of an end, and that
+        # the request may have run.
+        try:
+            return self._answer(passage, is_chat)
+        except Exception as error:
+            emit(REQUEST_FAILED, error=repr(error))
+        return Err(
+            RequestFailure(
+                ErrorCode.INTERNAL, 'internal error', Verdict.MAY_HAVE_RUN
+            )
+        )
+
     def _answer(self, passage: Passage, is_chat: bool) -> Answered:
         match passage.stopped_by:
             case RequestFailure() as refusal:
--- a/marigoldhoist/components/upstreams/answer.py
+++ b/marigoldhoist/components/upstreams/answer.py
@@ -47,10 +47,9 @@
 
     def wait_for_body(self, timeout_s: float) -> bool:
         """Wait for the first bytes of the body; False if none came in time."""
-        connection = getattr(self._reply, 'connection', None)
-        if not self._reply.chunked or connection is None:
+        upstream = self._socket()
+        if upstream is None:
             return True
-        upstream: socket.socket = connection.sock
         timeout_before_s = upstream.gettimeout()
         upstream.setblocking(False)
         received = self._http_reply().fp.peek(1)
@@ -66,10 +65,9 @@
 
         None where the body is not chunked; the caller then reads chunks().
         """
-        connection = getattr(self._reply, 'connection', None)
-        if not self._reply.chunked or connection is None:
+        upstream = self._socket()
+        if upstream is None:
             return None
-        upstream: socket.socket = connection.sock
         received = self._read_ahead(upstream)
         return StreamSource(upstream, received, no_progress_s)
 
@@ -98,6 +96,19 @@
             else:
                 self._reply.close()
 
+    def _socket(self) -> socket.socket | None:
+        """Return the socket of a chunked body that is still to be read."""
+        if not self._reply.chunked:
+            return None
+        connection = getattr(self._reply, 'connection', None)
+        upstream: socket.socket | None = getattr(connection, 'sock', None)
+        if upstream is not None:
+            return upstream
+        # http.client takes the socket off a connection that the upstream
+        # closes after this answer; the buffered reader still holds it.
+        buffered = getattr(self._http_reply(), 'fp', None)
+        return getattr(getattr(buffered, 'raw', None), '_sock', None)
+
     def _read_ahead(self, upstream: socket.socket) -> bytes:
         # http.client buffers what came with the head; nothing else may read
         # the socket until that buffer is empty.
--- a/tools/standins/engine.py
+++ b/tools/standins/engine.py
@@ -20,6 +20,7 @@
 class EngineFaults(msgspec.Struct):
     """Faults of an engine; zero and false mean none."""
 
+    closes_connections: bool = False
     fail_all: bool = False
     cut_after_tokens: int = 0
     silent_after_tokens: int = 0
@@ -139,7 +140,7 @@
             self.served.append(served)
         words = [f'{request_id}:{number} ' for number in range(chat.max_tokens)]
         if chat.stream:
-            headers = (('X-Resumed-From', str(resume_from)),)
+            headers = self._stream_headers(resume_from)
             body = self._stream(chat, served, words)
             return WebReply(body, 200, EVENT_STREAM, headers)
         self._batch.enter(served.priority)
@@ -147,6 +148,12 @@
         self._batch.leave()
         return json_reply(whole_answer(chat, words) | self._doubt(chat))
 
+    def _stream_headers(self, resume_from: int) -> tuple[tuple[str, str], ...]:
+        resumed = ('X-Resumed-From', str(resume_from))
+        if self.faults.closes_connections:
+            return (resumed, ('Connection', 'close'))
+        return (resumed,)
+
     def _part(
         self, chat: ChatRequest, word: str, is_last: bool
     ) -> dict[str, Any]:
--- a/tools/world/processes.py
+++ b/tools/world/processes.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Set
 
 from tools.world.samples import PEER_KEY
 
@@ -16,6 +17,7 @@
 
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
+        self._standins: set[str] = set()
         self._process_by_name: dict[str, subprocess.Popen[bytes]] = {}
 
     def __enter__(self) -> 'Processes':
@@ -30,9 +32,14 @@
         """Stop every process that is left, also a frozen one."""
         for frozen in tuple(self._process_by_name):
             self.thaw(frozen)
-        for name in tuple(self._process_by_name):
-            self._process_by_name[name].terminate()
-        for name in tuple(self._process_by_name):
+        # Daemons stop first, as a planned stop needs the platform.
+        self._stop(self._process_by_name.keys() - self._standins)
+        self._stop(self._standins & self._process_by_name.keys())
+
+    def _stop(self, names: Set[str]) -> None:
+        for asked in names:
+            self._process_by_name[asked].terminate()
+        for name in names:
             self.wait(name)
 
     def start(self, name: str, *command: str) -> None:
@@ -55,6 +62,7 @@
     ) -> None:
         """Start a stand-in."""
         module = ('-m', 'tools.standins', kind, address, str(port))
+        self._standins.add(name)
         self.start(name, sys.executable, *module)
 
     def kill(self, name: str) -> None:
