Measure state and relay again on a quiet machine, with all components

Cause: the capacity page had slopes from before the index of replicas and the chosen links between domains, on a busy machine; the state bench no longer ran since the upstream service asks for the kernel's stopping event.

--- a/tools/bench/state.py
+++ b/tools/bench/state.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from functools import partial
 
+from marigoldhoist.core.events import configure_logs
 from tools.bench.relay_idle import measure_idle
 from tools.bench.state_hosts import measure_hosts
 from tools.bench.state_peers import (
@@ -20,6 +21,7 @@
 
 def main() -> None:
     """Run the named parts, or all."""
+    configure_logs('error', 'bench')
     parser = argparse.ArgumentParser(prog='script/bench state')
     parser.add_argument('--parts', default='')
     parser.add_argument('--binary', default='')
--- a/tools/bench/state_hosts.py
+++ b/tools/bench/state_hosts.py
@@ -1,5 +1,6 @@
 """Cost of the host list: its bytes, its decoding and the choice from it."""
 
+import threading
 import time
 from types import SimpleNamespace
 from typing import Any, cast
@@ -74,6 +75,7 @@
     found: Any = SimpleNamespace(
         settings=SimpleNamespace(section=lambda _: UpstreamSettings()),
         find=lambda *_: hosts,
+        stopping=threading.Event(),
     )
     upstreams = UpstreamService(cast(Kernel, found))
     upstreams.replicas_serving('pult-model/v1')
