Build the model check's actions in one place

Cause: three specifications repeated the loop that names each process's steps. Change: actions_of in tools/model_check/system.py. Conclusion: same behaviour, one piece of logic.

--- a/tools/model_check/claims.py
+++ b/tools/model_check/claims.py
@@ -5,17 +5,16 @@
 log, and none is taken once the order is older than the window.
 """
 
-from functools import partial
 from typing import Any
 
 import z3
 
 from tools.model_check.properties import Property
 from tools.model_check.system import (
-    Action,
     Effect,
     State,
     System,
+    actions_of,
     all_of,
     per_process,
     sorts_of,
@@ -189,16 +188,13 @@
 def build(mutant: str) -> System:
     """Return the system."""
     claims = Claims(mutant)
-    actions: dict[str, Action] = {'tick': claims.tick}
-    for process in range(PROCESSES):
-        for step in (
-            claims.append,
-            claims.read_back,
-            claims.run,
-            claims.give_up,
-        ):
-            name = f'{step.__name__} by {process}'
-            actions[name] = partial(step, process)
+    steps = (
+        claims.append,
+        claims.read_back,
+        claims.run,
+        claims.give_up,
+    )
+    actions = {'tick': claims.tick} | actions_of(steps, PROCESSES)
     whole = ('now', 'pass', 'owner', 'owner_time', 'window', 'retention')
     return System(
         'claims',
--- a/tools/model_check/leases.py
+++ b/tools/model_check/leases.py
@@ -5,17 +5,16 @@
 engine checks, for the largest pause assumed where it does not.
 """
 
-from functools import partial
 from typing import Any
 
 import z3
 
 from tools.model_check.properties import Property
 from tools.model_check.system import (
-    Action,
     Effect,
     State,
     System,
+    actions_of,
     all_of,
     per_process,
     sorts_of,
@@ -256,16 +255,14 @@
 def build(mutant: str) -> System:
     """Return the system."""
     leases = Leases(mutant)
-    actions: dict[str, Action] = {'tick': leases.tick}
-    for process in range(PROCESSES):
-        for step in (
-            leases.acquire,
-            leases.renew,
-            leases.release,
-            leases.decide,
-            leases.deliver,
-        ):
-            actions[f'{step.__name__} by {process}'] = partial(step, process)
+    steps = (
+        leases.acquire,
+        leases.renew,
+        leases.release,
+        leases.decide,
+        leases.deliver,
+    )
+    actions = {'tick': leases.tick} | actions_of(steps, PROCESSES)
     return System(
         'leases',
         _sorts(),
--- a/tools/model_check/system.py
+++ b/tools/model_check/system.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from collections.abc import Callable, Iterable, Mapping
+from functools import partial
 from typing import Any
 
 import z3
@@ -48,6 +49,21 @@
         }
 
 
+ProcessStep = Callable[[int, State], Effect]
+
+
+def actions_of(
+    steps: Iterable[ProcessStep], processes: int
+) -> dict[str, Action]:
+    """Return each step of each process as an action with a name of its own."""
+    chosen = tuple(steps)
+    return {
+        f'{step.__name__} by {process}': partial(step, process)
+        for process in range(processes)
+        for step in chosen
+    }
+
+
 Builder = Callable[[str], System]
 
 
--- a/tools/model_check/table.py
+++ b/tools/model_check/table.py
@@ -5,17 +5,16 @@
 """
 
 import dataclasses
-from functools import partial
 from typing import Any
 
 import z3
 
 from tools.model_check.properties import Property
 from tools.model_check.system import (
-    Action,
     Effect,
     State,
     System,
+    actions_of,
     all_of,
     per_process,
     sorts_of,
@@ -281,16 +280,14 @@
 def build(mutant: str) -> System:
     """Return the system."""
     table = Table(mutant)
-    actions: dict[str, Action] = {'append': table.append}
-    for daemon in range(DAEMONS):
-        for step in (
-            table.read,
-            table.relay,
-            table.snapshot,
-            table.restore,
-            table.replace,
-        ):
-            actions[f'{step.__name__} by {daemon}'] = partial(step, daemon)
+    steps = (
+        table.read,
+        table.relay,
+        table.snapshot,
+        table.restore,
+        table.replace,
+    )
+    actions = {'append': table.append} | actions_of(steps, DAEMONS)
     numbers = ('length', 'withdrawn_at', 'position_kept', 'row_kept')
     changes = z3.ArraySort(z3.IntSort(), z3.IntSort())
     return System(
