--- a/tools/benches/replicas.py
+++ b/tools/bench/replicas.py
@@ -1,6 +1,6 @@
 """Compare rules of replica choice under lagging reports.
 
-Run `python -m tools.benches.replicas`. Seeded and in one process: several
+Run `script/bench replicas`. Seeded and in one process: several
 daemons choose between the same replicas, each by its own reports of the given
 age. A request is crowded when it finds every slot of its replica taken.
 """
--- a/tools/benches/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Small measurements, each of one decision."""
