Read to the head by one loop, and drop what nothing calls

Behaviour stays as it is.

the full suite was not run again after it.

Conclusion: one piece of logic for each.

--- a/marigoldhoist/components/dispatch/attempts.py
+++ b/marigoldhoist/components/dispatch/attempts.py
@@ -36,7 +36,6 @@
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
 from marigoldhoist.core.exchange import CallerRequest
 from marigoldhoist.core.kernel import Kernel
-from marigoldhoist.core.verdict import Verdict
 
 Chosen = Result[Replica, RequestFailure]
 
@@ -166,7 +165,7 @@
         failure = outcome.err_value
         if failure.code is not ErrorCode.UPSTREAM_FAILED:
             return False
-        if failure.verdict is Verdict.NOT_RUN:
+        if failure.verdict.allows_retry:
             return True
         if not request.is_repeatable:
             return False
--- a/marigoldhoist/components/platform_log/errors.py
+++ b/marigoldhoist/components/platform_log/errors.py
@@ -18,12 +18,3 @@
     """An append whose outcome is not known; the same ids may go again."""
 
     reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LogGap:
-    """Records between the follower and the log's first offset have expired."""
-
-    stream: str
-    wanted_offset: int
-    first_offset: int
--- a/marigoldhoist/components/platform_log/feed.py
+++ b/marigoldhoist/components/platform_log/feed.py
@@ -106,6 +106,15 @@
                 lambda: self._next_offset > offset, timeout_s
             )
 
+    def drain(self, fetch: Callable[[], bool]) -> bool:
+        """Fetch until nothing is left to fold; False where a fetch fails."""
+        position = -1
+        while position < self._next_offset:
+            position = self._next_offset
+            if not fetch():
+                return False
+        return True
+
     def dump(self) -> FeedDump:
         """Return every part as it is before the next entry."""
         with self._advanced:
--- a/marigoldhoist/components/platform_log/service.py
+++ b/marigoldhoist/components/platform_log/service.py
@@ -71,13 +71,9 @@
     def read_to_the_head(self, stream: str) -> bool:
         """Read a stream until nothing is left; False where it cannot be."""
         follower = self.followers_by_stream[stream]
-        feed = self.feeds_by_stream[stream]
-        position = -1
-        while position < feed.next_offset:
-            position = feed.next_offset
-            if not follower.read_once(0):
-                return False
-        return True
+        return self.feeds_by_stream[stream].drain(
+            partial(follower.read_once, 0)
+        )
 
     def status(self) -> LogStatus:
         """Return what operators see of the streams followed."""
--- a/marigoldhoist/components/quality/book.py
+++ b/marigoldhoist/components/quality/book.py
@@ -12,7 +12,6 @@
 
 from marigoldhoist.components.quality.cells import (
     ZERO_COUNTS,
-    CellKey,
     Counts,
     Observation,
     add_counts,
@@ -162,8 +161,3 @@
 def _rated(chance: float, likelihood: float) -> float:
     good = chance * likelihood
     return good / (good + (1 - chance) * (1 - likelihood))
-
-
-def cell_key(model: str, arm: ArmKey, failure_domain: str) -> CellKey:
-    """Return the cell that counts an arm's answers in a failure domain."""
-    return CellKey(model, arm.task, arm.version, arm.after, failure_domain)
--- a/marigoldhoist/components/relay/service.py
+++ b/marigoldhoist/components/relay/service.py
@@ -1,6 +1,7 @@
 """Announce positions to peers and fetch from those that are ahead."""
 
 import queue
+from functools import partial
 
 import msgspec
 from result import Ok
@@ -41,8 +42,10 @@
 
     def read_to_the_head(self, stream: str) -> bool:
         """Fetch from a peer until it has no more; False if none answers."""
+        feed = self._log.feeds_by_stream[stream]
         return any(
-            self._drain(peer.host, stream) for peer in self._peers.live()
+            feed.drain(partial(self._fetch, peer.host, stream))
+            for peer in self._peers.live()
         )
 
     def _announce(self) -> None:
@@ -82,15 +85,6 @@
                 continue
             self._fetch(peer, stream)
 
-    def _drain(self, peer: str, stream: str) -> bool:
-        feed = self._log.feeds_by_stream[stream]
-        position = -1
-        while position < feed.next_offset:
-            position = feed.next_offset
-            if not self._fetch(peer, stream):
-                return False
-        return True
-
     def _fetch(self, peer: str, stream: str) -> bool:
         feed = self._log.feeds_by_stream[stream]
         wanted = msgspec.msgpack.encode(
