--- a/marigoldhoist/components/gateway/exchange.py
+++ b/marigoldhoist/components/gateway/exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Final
 
 from marigoldhoist.components.canary.judge import SeenAnswer
@@ -35,6 +35,7 @@
 from marigoldhoist.components.gateway.repeats import RepeatBudgets
 from marigoldhoist.components.gateway.sending import RunningAnswer, Sender
 from marigoldhoist.components.gateway.splitter import EventSplitter
+from marigoldhoist.components.gateway.stopping import StopClock
 from marigoldhoist.components.placement.model_sizes import (
     Doubt,
     first_model,
@@ -61,6 +62,7 @@
     canary: CanaryService
     repeats: RepeatBudgets
     dialect: Dialect
+    stop_clock: Callable[[], StopClock | None]
 
 
 class RefusedError(Exception):
@@ -96,6 +98,7 @@
         """Serve the call; return whether its connection may be used again."""
         try:
             admitted = self._admitted()
+            self._require_time_to_finish(admitted.route)
             self._model = self._first_model(admitted.route)
             self._route_name = admitted.route.name
             self._desk.repeats.note_request(_service_of(admitted.route))
@@ -286,6 +289,19 @@
             raise RefusedError(self._upstream_failed())
         raise RefusedError(admitted)
 
+    def _require_time_to_finish(self, route: Route) -> None:
+        """Raise RefusedError where a stop would cut the answer."""
+        clock = self._desk.stop_clock()
+        if clock is None or clock.takes(is_stream=route.is_stream):
+            return
+        raise RefusedError(
+            self._desk.admission.refusal(
+                ErrorCode.DRAINING,
+                f'told to stop {clock.since_s:.1f} s ago',
+                0,
+            )
+        )
+
     def _first_model(self, route: Route) -> str:
         prompt = self._call.prompt
         if prompt is None:
--- a/marigoldhoist/components/gateway/service.py
+++ b/marigoldhoist/components/gateway/service.py
@@ -41,6 +41,7 @@
     GatewaySettings,
     split_address,
 )
+from marigoldhoist.components.gateway.stopping import StopClock
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.const import MS_PER_S
 from marigoldhoist.core.errors import KernelError, RequestFailure
@@ -72,6 +73,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._was_ready = False
         self.is_stopping = False
+        self._stop_begun_s: float = 0
         self._directory.on_gone(self._forget)
 
     @property
@@ -107,6 +109,7 @@
             self._canary,
             RepeatBudgets(self._promises),
             dialect,
+            self._stop_clock,
         )
 
     def opened(self, connection: CallerConnection) -> None:
@@ -139,11 +142,10 @@
     async def stop_gracefully(self) -> None:
         """Finish what is in flight within the time allowed for a stop."""
         self.is_stopping = True
-        begun_s = SYSTEM_CLOCK.monotonic_s()
+        self._stop_begun_s = SYSTEM_CLOCK.monotonic_s()
         emit(STOP_BEGUN, open=len(self._connections), serving=self._serving)
-        grace_s = self._settings.stop_grace_ms / MS_PER_S - STOP_RESERVE_S
-        await asyncio.sleep(min(BALANCER_NOTICE_S, grace_s))
-        while SYSTEM_CLOCK.monotonic_s() < begun_s + grace_s:
+        await asyncio.sleep(min(BALANCER_NOTICE_S, self._grace_s))
+        while SYSTEM_CLOCK.monotonic_s() < self._stop_begun_s + self._grace_s:
             self._close_idle()
             if not self._connections:
                 break
@@ -157,6 +159,16 @@
         for task in self._tasks:
             task.cancel()
 
+    @property
+    def _grace_s(self) -> float:
+        return self._settings.stop_grace_ms / MS_PER_S - STOP_RESERVE_S
+
+    def _stop_clock(self) -> StopClock | None:
+        if not self.is_stopping:
+            return None
+        since_s = SYSTEM_CLOCK.monotonic_s() - self._stop_begun_s
+        return StopClock(since_s, self._grace_s - since_s)
+
     @property
     def _serving(self) -> int:
         return sum(1 for one in self._connections if one.is_serving)
