Keep part of the repeat budget for failures; count only what was sent

Change: a third of the budget is for failures alone; a failed connect is no send; a replica that stays unreachable is avoided for longer each time; the exchange is split into progress, attempts and deliveries by kind of route.

--- a/marigoldhoist/components/directory/const.py
+++ b/marigoldhoist/components/directory/const.py
@@ -13,3 +13,6 @@
 # A replica that refused or dropped a connection gets no work for this long,
 # while others have room.
 SUSPECT_S: Final = 1.0
+# Each time that it does so again it is avoided for longer.
+SUSPECT_GROWTH: Final = 2.0
+LONGEST_SUSPECT_S: Final = 4.0
--- a/marigoldhoist/components/directory/models.py
+++ b/marigoldhoist/components/directory/models.py
@@ -3,7 +3,10 @@
 import dataclasses
 import math
 
-from marigoldhoist.components.directory.const import FAILURE_HALF_LIFE_S
+from marigoldhoist.components.directory.const import (
+    FAILURE_HALF_LIFE_S,
+    SUSPECT_S,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,6 +56,7 @@
     is_gone: bool = False
     usable_until_s: float = math.inf
     suspected_until_s: float = -math.inf
+    suspect_s: float = SUSPECT_S
     _failures: float = 0
     _failures_at_s: float = 0
 
@@ -92,4 +96,5 @@
     def note_success(self, now_s: float) -> None:
         """Count a success, which halves what earlier failures count for."""
         self._failures = self.failures(now_s) / 2
+        self.suspect_s = SUSPECT_S
         self._failures_at_s = now_s
--- a/marigoldhoist/components/directory/service.py
+++ b/marigoldhoist/components/directory/service.py
@@ -2,7 +2,11 @@
 
 from collections.abc import Callable, Iterable
 
-from marigoldhoist.components.directory.const import LAPSE_GRACE_S, SUSPECT_S
+from marigoldhoist.components.directory.const import (
+    LAPSE_GRACE_S,
+    LONGEST_SUSPECT_S,
+    SUSPECT_GROWTH,
+)
 from marigoldhoist.components.directory.events import (
     REPLICA_FOUND,
     REPLICA_GONE,
@@ -91,7 +95,10 @@
         replica.note_failure(now_s)
         if now_s >= replica.suspected_until_s:
             emit(REPLICA_SUSPECTED, replica=replica.host, reason=reason)
-        replica.suspected_until_s = now_s + SUSPECT_S
+            replica.suspected_until_s = now_s + replica.suspect_s
+            replica.suspect_s = min(
+                LONGEST_SUSPECT_S, replica.suspect_s * SUSPECT_GROWTH
+            )
 
     def note_replaced(self, replica: Replica) -> None:
         """Take a replica as gone whose address answers as another."""
--- a/marigoldhoist/components/gateway/__init__.py
+++ b/marigoldhoist/components/gateway/__init__.py
@@ -5,6 +5,10 @@
     COMPONENT as CONFIGURATION,
 )
 from marigoldhoist.components.directory.const import COMPONENT as DIRECTORY
+from marigoldhoist.components.gateway import (  # noqa: F401
+    plain_delivery,
+    stream_delivery,
+)
 from marigoldhoist.components.gateway.const import COMPONENT
 from marigoldhoist.components.gateway.service import GatewayService
 from marigoldhoist.core.deployments import GATEWAY
--- a/marigoldhoist/components/gateway/admission.py
+++ b/marigoldhoist/components/gateway/admission.py
@@ -19,6 +19,7 @@
 from marigoldhoist.core.const import MS_PER_S
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
 from marigoldhoist.core.promises import PromiseSettings
+from marigoldhoist.core.rendezvous import pick_by_weight
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,8 +28,7 @@
 
     route: Route
     workspace: Workspace | None
-    version: int
-    age_s: float
+    service: str
 
 
 class Admission:
@@ -60,11 +60,10 @@
                 ErrorCode.NO_TABLE, 'no configuration is known yet'
             )
         route = current.route(call.authority, call.path)
-        age_s = self._configuration.age_s
         if route is None:
             return self._denial(ErrorCode.UNKNOWN_ROUTE, 'no such route')
         if route.is_public:
-            return Admitted(route, None, current.version, age_s)
+            return Admitted(route, None, _service_of(route, call))
         return self._with_key(call, route, current)
 
     def refusal(
@@ -89,7 +88,7 @@
         workspace = current.workspace_by_key.get(call.key)
         if workspace is None:
             return self._denial(ErrorCode.UNAUTHORIZED, 'unknown key')
-        return Admitted(route, workspace, current.version, age_s)
+        return Admitted(route, workspace, _service_of(route, call))
 
     def _denial(self, code: ErrorCode, message: str) -> RequestFailure:
         """Deny a call, but only where the configuration is known well."""
@@ -100,3 +99,15 @@
                 f'the configuration was confirmed {age_s:.1f} s ago',
             )
         return RequestFailure(code, message)
+
+
+def _service_of(route: Route, call: Call) -> str:
+    """Return the service that a call goes to, by the route's weights."""
+    weights = {
+        service: weight
+        for service, weight in route.weight_by_service.items()
+        if weight > 0
+    }
+    if len(weights) < 2:
+        return next(iter(weights or route.weight_by_service))
+    return pick_by_weight(weights, call.session or call.request_id)
--- /dev/null
+++ b/marigoldhoist/components/gateway/attempts.py
@@ -0,0 +1,202 @@
+"""Try replicas for one call: choose, send, and decide on another try."""
+
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Final
+
+from marigoldhoist.components.canary.judge import SeenAnswer
+from marigoldhoist.components.configuration.models import Route
+from marigoldhoist.components.directory.models import Replica
+from marigoldhoist.components.gateway.admission import Admitted
+from marigoldhoist.components.gateway.choosing import Wanted
+from marigoldhoist.components.gateway.const import MIN_SEND_S
+from marigoldhoist.components.gateway.desk import Desk, RefusedError
+from marigoldhoist.components.gateway.errors import AttemptError
+from marigoldhoist.components.gateway.events import (
+    ATTEMPT_FAILED,
+    STREAM_RESUMED,
+)
+from marigoldhoist.components.gateway.models import Order
+from marigoldhoist.components.gateway.progress import Progress
+from marigoldhoist.components.gateway.sending import RunningAnswer
+from marigoldhoist.core.clock import SYSTEM_CLOCK
+from marigoldhoist.core.errors import ErrorCode, RequestFailure
+from marigoldhoist.core.events import emit
+from marigoldhoist.core.verdict import Verdict
+
+# Replicas that cannot be connected to, before the call is refused.
+MOST_UNREACHED: Final = 5
+
+
+class Attempts:
+    """The tries of one call."""
+
+    def __init__(self, progress: Progress, desk: Desk) -> None:
+        self._progress = progress
+        self._desk = desk
+        self._unreached = 0
+
+    def admit(self) -> Admitted:
+        """Return what the call may use now; RefusedError for nothing."""
+        admitted = self._desk.admission.admit(self._progress.call)
+        if isinstance(admitted, Admitted):
+            self._progress.service = admitted.service
+            self._progress.route_name = admitted.route.name
+            self._progress.route_timeout_s = admitted.route.timeout_s
+            return admitted
+        if self._progress.verdict is not Verdict.NOT_RUN:
+            raise RefusedError(self._upstream_failed())
+        raise RefusedError(admitted)
+
+    @contextlib.asynccontextmanager
+    async def sent(self) -> AsyncIterator[RunningAnswer]:
+        """Send the call to a replica; AttemptError where it gives nothing.
+
+        The configuration is asked again, as it may have changed since the
+        call arrived.
+        """
+        progress = self._progress
+        admitted = self.admit()
+        replica = self._choose()
+        if progress.left_s < MIN_SEND_S:
+            raise RefusedError(self.time_is_up())
+        self._note_sent(replica)
+        workspace = admitted.workspace
+        order = Order(
+            replica.host,
+            progress.left_s,
+            workspace.name if workspace else '',
+            progress.model,
+            progress.last_event,
+        )
+        async with self._desk.sender.sent(
+            progress.call,
+            order,
+            replica,
+            is_repeatable=admitted.route.is_repeatable,
+        ) as answer:
+            yield answer
+
+    def note_answer(self, answer: RunningAnswer, *, is_failure: bool) -> None:
+        """Learn from an answer that was read."""
+        replica = answer.replica
+        progress = self._progress
+        prompt = progress.call.prompt
+        now_s = SYSTEM_CLOCK.boottime_s()
+        if is_failure:
+            replica.note_failure(now_s)
+            progress.verdict = Verdict.RAN
+        else:
+            replica.note_success(now_s)
+            if prompt is not None:
+                self._desk.picker.note_read(replica, progress.model, prompt)
+        self._desk.canary.note_answer(
+            replica.entry,
+            progress.call.session,
+            SeenAnswer(
+                is_failure, answer.head_s / progress.usual_s, progress.work
+            ),
+        )
+
+    def note_failed(self, error: AttemptError) -> None:
+        """Take in that a replica gave no answer."""
+        progress = self._progress
+        progress.last_reason = error.reason
+        if not error.was_sent:
+            progress.sends -= 1
+            self._unreached += 1
+        if error.verdict is not Verdict.NOT_RUN:
+            progress.verdict = error.verdict
+        emit(
+            ATTEMPT_FAILED,
+            reason=error.reason,
+            verdict=error.verdict.value,
+            sends=progress.sends,
+            **progress.log_fields(),
+        )
+
+    def require_another(self, route: Route, error: AttemptError) -> None:
+        """Raise RefusedError unless another replica may be tried."""
+        verdict = self._progress.verdict
+        if verdict is Verdict.NOT_RUN or route.is_repeatable:
+            if not error.was_sent and self._unreached < MOST_UNREACHED:
+                return
+            if self.may_send_again(route):
+                return
+        if verdict is Verdict.NOT_RUN:
+            raise RefusedError(
+                self._desk.admission.refusal(
+                    ErrorCode.OVERLOADED, error.reason, self._progress.left_s
+                )
+            )
+        raise RefusedError(self._upstream_failed())
+
+    def may_send_again(self, route: Route) -> bool:
+        """Tell whether another send is allowed, and count it if so."""
+        return (
+            self._progress.sends < route.max_attempts
+            and self._progress.left_s > MIN_SEND_S
+            and self._desk.repeats.try_take(self._progress.service)
+        )
+
+    def time_is_up(self) -> RequestFailure:
+        """Return the final answer of a call whose time has passed."""
+        if self._progress.sends:
+            return RequestFailure(
+                ErrorCode.DEADLINE_EXCEEDED,
+                'no answer in the time allowed',
+                Verdict.MAY_HAVE_RUN,
+            )
+        return self._desk.admission.refusal(
+            ErrorCode.OVERLOADED, 'no time is left', 0
+        )
+
+    def _note_sent(self, replica: Replica) -> None:
+        progress = self._progress
+        progress.sends += 1
+        progress.tried.add(replica.host)
+        self._desk.canary.keep_session(
+            progress.call.session, replica.entry.version
+        )
+        if progress.has_begun:
+            emit(
+                STREAM_RESUMED,
+                replica=replica.host,
+                after_event=progress.last_event,
+                **progress.log_fields(),
+            )
+
+    def _choose(self) -> Replica:
+        """Choose among the replicas of the first version that has one left."""
+        progress = self._progress
+        call = progress.call
+        usable = self._desk.directory.usable(progress.service)
+        versions = self._desk.canary.versions(progress.service, call.session)
+        for version in versions or ('',):
+            replicas = [
+                one
+                for one in usable
+                if not version or one.entry.version == version
+            ]
+            picked = self._desk.picker.pick(
+                Wanted(replicas, progress.tried, progress.model, call.prompt)
+            )
+            if picked is not None:
+                return picked
+        raise RefusedError(self._no_replica(len(usable)))
+
+    def _no_replica(self, usable: int) -> RequestFailure:
+        if self._progress.verdict is not Verdict.NOT_RUN:
+            return self._upstream_failed()
+        return self._desk.admission.refusal(
+            ErrorCode.NO_REPLICA,
+            f'none of {usable} replicas can take the request',
+            self._progress.left_s,
+        )
+
+    def _upstream_failed(self) -> RequestFailure:
+        return RequestFailure(
+            ErrorCode.UPSTREAM_FAILED,
+            self._progress.last_reason or 'a replica failed the request',
+            self._progress.verdict,
+        )
--- a/marigoldhoist/components/gateway/const.py
+++ b/marigoldhoist/components/gateway/const.py
@@ -42,4 +42,4 @@
 
 # A configuration that the store has not confirmed for this share of the time
 # within which a key must stop working is not served with keys.
-KEY_AGE_SHARE: Final = 0.9
+KEY_AGE_SHARE: Final = 0.98
--- a/marigoldhoist/components/gateway/errors.py
+++ b/marigoldhoist/components/gateway/errors.py
@@ -19,7 +19,10 @@
 class AttemptError(MarigoldhoistError):
     """A replica gave no answer that can be delivered."""
 
-    def __init__(self, reason: str, verdict: Verdict) -> None:
+    def __init__(
+        self, reason: str, verdict: Verdict, *, was_sent: bool = True
+    ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.verdict = verdict
+        self.was_sent = was_sent
--- a/marigoldhoist/components/gateway/pool.py
+++ b/marigoldhoist/components/gateway/pool.py
@@ -138,7 +138,11 @@
                 ReplicaConnection, entry.address, entry.port
             )
     except TimeoutError as error:
-        raise AttemptError('connect timed out', Verdict.NOT_RUN) from error
+        raise _unreached('connect timed out') from error
     except OSError as error:
-        raise AttemptError('connect failed', Verdict.NOT_RUN) from error
+        raise _unreached('connect failed') from error
     return connection
+
+
+def _unreached(reason: str) -> AttemptError:
+    return AttemptError(reason, Verdict.NOT_RUN, was_sent=False)
--- a/marigoldhoist/components/gateway/repeats.py
+++ b/marigoldhoist/components/gateway/repeats.py
@@ -1,12 +1,18 @@
 """Budgets of repeats by service."""
 
+from typing import Final
+
 from marigoldhoist.components.retries.window import RepeatWindow
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.const import MS_PER_S
 from marigoldhoist.core.promises import PromiseSettings
 
-# Left of the promised ratio, as daemons count their windows apart.
-USED_PART = 0.9
+# Part of the promised ratio that is used, as daemons' windows lie apart.
+USED_PART: Final = 0.95
+# Repeats in each window that are allowed however few the requests are.
+FLOOR: Final = 2
+# Part of the budget that is left for failures.
+RESERVED_PART: Final = 0.35
 
 
 class RepeatBudgets:
@@ -25,9 +31,14 @@
         """Take one repeat, or tell that the budget is spent."""
         return self._window(service).try_take(SYSTEM_CLOCK.boottime_s())
 
+    def try_take_spare(self, service: str) -> bool:
+        """Take one repeat that is not needed, leaving some for failures."""
+        now_s = SYSTEM_CLOCK.boottime_s()
+        return self._window(service).try_take(now_s, RESERVED_PART)
+
     def _window(self, service: str) -> RepeatWindow:
         window = self._window_by_service.get(service)
         if window is None:
-            window = RepeatWindow(self._ratio, self._window_s)
+            window = RepeatWindow(self._ratio, self._window_s, FLOOR)
             self._window_by_service[service] = window
         return window
--- a/marigoldhoist/components/gateway/service.py
+++ b/marigoldhoist/components/gateway/service.py
@@ -22,13 +22,14 @@
     STOP_POLL_S,
     STOP_RESERVE_S,
 )
+from marigoldhoist.components.gateway.desk import Desk
 from marigoldhoist.components.gateway.events import (
     GATEWAY_LISTENING,
     READINESS_CHANGED,
     STOP_BEGUN,
     STOP_ENDED,
 )
-from marigoldhoist.components.gateway.exchange import Desk, Exchange
+from marigoldhoist.components.gateway.exchange import Exchange
 from marigoldhoist.components.gateway.messages import (
     MessageHead,
     answer_bytes,
--- a/marigoldhoist/components/retries/window.py
+++ b/marigoldhoist/components/retries/window.py
@@ -11,7 +11,7 @@
 class RepeatWindow:
     """Counts requests and repeats of one service in a sliding window."""
 
-    def __init__(self, ratio: float, window_s: float, floor: int = 1) -> None:
+    def __init__(self, ratio: float, window_s: float, floor: int = 0) -> None:
         self._ratio = ratio
         self._window_s = window_s
         self._floor = floor
@@ -23,18 +23,19 @@
         self._requests.append(now_s)
         self._forget(now_s)
 
-    def try_take(self, now_s: float) -> bool:
-        """Take one repeat, or tell that the budget is spent."""
+    def try_take(self, now_s: float, reserved_part: float = 0) -> bool:
+        """Take one repeat, or tell that the budget is spent.
+
+        Of the ratio, a part can be left to those that need it more.
+        """
         self._forget(now_s)
-        if len(self._repeats) >= self.allowed:
+        if len(self._repeats) >= self._allowed(1 - reserved_part):
             return False
         self._repeats.append(now_s)
         return True
 
-    @property
-    def allowed(self) -> int:
-        """Return the repeats that the window allows."""
-        return max(self._floor, int(self._ratio * len(self._requests)))
+    def _allowed(self, part: float) -> int:
+        return self._floor + int(part * self._ratio * len(self._requests))
 
     def _forget(self, now_s: float) -> None:
         since_s = now_s - self._window_s
--- a/tools/bench/replay/fleet.py
+++ b/tools/bench/replay/fleet.py
@@ -2,12 +2,12 @@
 
 import random
 
-from marigoldhoist.components.routing.const import DEFAULT_SERVICE_TIME_S
 from marigoldhoist.components.placement.loads import LoadContext, replica_views
 from marigoldhoist.components.placement.replicas import (
     PickContext,
     pick_replica,
 )
+from marigoldhoist.components.routing.const import DEFAULT_SERVICE_TIME_S
 from marigoldhoist.components.routing.subsets import replica_subset
 from marigoldhoist.components.routing.times import StageTimes
 from marigoldhoist.components.routing.waits import least_load
