--- a/marigoldhoist/components/canary/const.py
+++ b/marigoldhoist/components/canary/const.py
@@ -6,10 +6,10 @@
 
 # Parts of the time that the operator allows for a roll-out.
 CANARY_UNTIL: Final = 0.5
-ALL_MOVED_AT: Final = 0.7
-COMPLETE_AT: Final = 0.8
+ALL_MOVED_AT: Final = 0.85
+COMPLETE_AT: Final = 0.88
 # In-flight requests of the old version may hold completion up until then.
-COMPLETE_LATEST_AT: Final = 0.93
+COMPLETE_LATEST_AT: Final = 0.94
 
 # Part of the promised share that the canary is given, as the share is counted
 # over requests that arrive unevenly.
--- a/marigoldhoist/components/directory/models.py
+++ b/marigoldhoist/components/directory/models.py
@@ -47,11 +47,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Replica:
-    """A replica and what this daemon saw of it."""
+    """A replica and what this daemon saw of it.
+
+    `reading_s` is the expected time that it reads this daemon's prompts whose
+    answers have not begun.
+    """
 
     entry: ReplicaEntry
     first_seen_s: float = -math.inf
     in_flight: int = 0
+    reading_s: float = 0
     report: LoadReport | None = None
     is_gone: bool = False
     usable_until_s: float = math.inf
--- a/marigoldhoist/components/gateway/attempts.py
+++ b/marigoldhoist/components/gateway/attempts.py
@@ -14,6 +14,7 @@
 from marigoldhoist.components.gateway.errors import AttemptError
 from marigoldhoist.components.gateway.events import (
     ATTEMPT_FAILED,
+    REQUEST_SENT,
     STREAM_RESUMED,
 )
 from marigoldhoist.components.gateway.models import Order
@@ -68,6 +69,7 @@
             workspace.name if workspace else '',
             progress.model,
             progress.last_event,
+            self._expected_reading_s(),
         )
         async with self._desk.sender.sent(
             progress.call,
@@ -89,7 +91,9 @@
         else:
             replica.note_success(now_s)
             if prompt is not None:
-                self._desk.picker.note_read(replica, progress.model, prompt)
+                self._desk.picker.note_read(
+                    replica, progress.model, prompt, answer.head_s
+                )
         self._desk.canary.note_answer(
             replica.entry,
             progress.call.session,
@@ -151,6 +155,15 @@
             ErrorCode.OVERLOADED, 'no time is left', 0
         )
 
+    def _expected_reading_s(self) -> float:
+        prompt = self._progress.call.prompt
+        if prompt is None:
+            return 0
+        expected_s = self._desk.picker.read_times.expected_s(
+            self._progress.model, prompt.tokens_in
+        )
+        return expected_s or 0
+
     def _note_sent(self, replica: Replica) -> None:
         progress = self._progress
         progress.sends += 1
@@ -158,6 +171,24 @@
         self._desk.canary.keep_session(
             progress.call.session, replica.entry.version
         )
+        report = replica.report
+        emit(
+            REQUEST_SENT,
+            replica=replica.host,
+            version=replica.entry.version,
+            model=progress.model,
+            tokens_in=progress.call.prompt.tokens_in
+            if progress.call.prompt
+            else None,
+            own_in_flight=replica.in_flight,
+            counted_in_flight=report.in_flight if report else None,
+            count_age_s=round(SYSTEM_CLOCK.boottime_s() - report.counted_s, 3)
+            if report
+            else None,
+            sends=progress.sends,
+            left_s=round(progress.left_s, 3),
+            **progress.log_fields(),
+        )
         if progress.has_begun:
             emit(
                 STREAM_RESUMED,
--- a/marigoldhoist/components/gateway/choosing.py
+++ b/marigoldhoist/components/gateway/choosing.py
@@ -9,6 +9,7 @@
 from marigoldhoist.components.gateway.models import Prompt
 from marigoldhoist.components.placement.loads import LoadContext, replica_views
 from marigoldhoist.components.placement.prefixes import PrefixMemory
+from marigoldhoist.components.placement.read_times import ReadTimes
 from marigoldhoist.components.placement.replicas import (
     PickContext,
     ReplicaView,
@@ -31,6 +32,8 @@
 # Requests per slot that a recent failure counts for.
 FAILURE_PENALTY: Final = 0.35
 SUSPECT_PENALTY: Final = 5.0
+# Requests per slot that a second of prompts to be read counts for.
+READING_PENALTY_PER_S: Final = 0.15
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +53,7 @@
         self._failure_domain = failure_domain
         self._rng = rng
         self.prefixes = PrefixMemory()
+        self.read_times = ReadTimes()
 
     def pick(self, wanted: Wanted) -> Replica | None:
         """Return the replica to ask, none where none is left."""
@@ -63,8 +67,11 @@
             (one for one in left if picked and one.host == picked.host), None
         )
 
-    def note_read(self, replica: Replica, model: str, prompt: Prompt) -> None:
-        """Note that a replica read a prompt."""
+    def note_read(
+        self, replica: Replica, model: str, prompt: Prompt, head_s: float
+    ) -> None:
+        """Note that a replica read a prompt in that time."""
+        self.read_times.observe(model, prompt.tokens_in, head_s)
         part_ids = [part.part_id for part in prompt.parts]
         now_s = SYSTEM_CLOCK.boottime_s()
         self.prefixes.note(replica.host, model, part_ids, now_s)
@@ -147,6 +154,7 @@
 
 def _penalty(replica: Replica, now_s: float) -> float:
     penalty = FAILURE_PENALTY * replica.failures(now_s)
+    penalty += READING_PENALTY_PER_S * replica.reading_s
     if now_s < replica.suspected_until_s:
         penalty += SUSPECT_PENALTY
     return penalty
--- a/marigoldhoist/components/gateway/events.py
+++ b/marigoldhoist/components/gateway/events.py
@@ -2,6 +2,9 @@
 
 from marigoldhoist.core.events import declare_event
 
+REQUEST_SENT = declare_event(
+    3800, 'request_sent', 'info', 'A request was sent to a replica.'
+)
 REQUEST_ENDED = declare_event(
     3801, 'request_ended', 'info', "A replica's answer was delivered whole."
 )
--- a/marigoldhoist/components/gateway/models.py
+++ b/marigoldhoist/components/gateway/models.py
@@ -50,13 +50,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
-    """What the daemon adds to a call when it sends it to a replica."""
+    """What the daemon adds to a call when it sends it to a replica.
+
+    `reading_s` is the expected time that the replica reads the prompt.
+    """
 
     replica_host: str
     time_left_s: float
     workspace: str = ''
     model: str = ''
     resume_after: int = 0
+    reading_s: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/marigoldhoist/components/gateway/sending.py
+++ b/marigoldhoist/components/gateway/sending.py
@@ -146,8 +146,9 @@
     ) -> RunningAnswer:
         sent_s = SYSTEM_CLOCK.boottime_s()
         try:
-            await connection.write(self._dialect.request_bytes(call, order))
-            head, signs = await self._own_head(connection, call.request_id)
+            with _reading(replica, order.reading_s):
+                await connection.write(self._dialect.request_bytes(call, order))
+                head, signs = await self._own_head(connection, call.request_id)
         except (ConnectionEndedError, MalformedMessageError) as error:
             self._directory.suspect(replica, str(error))
             raise AttemptError(str(error), Verdict.MAY_HAVE_RUN) from error
@@ -208,6 +209,15 @@
             raise AttemptError('refusal may have run', Verdict.MAY_HAVE_RUN)
 
 
+@contextlib.contextmanager
+def _reading(replica: Replica, expected_s: float) -> Iterator[None]:
+    replica.reading_s += expected_s
+    try:
+        yield
+    finally:
+        replica.reading_s -= expected_s
+
+
 @contextlib.contextmanager
 def _counted(replica: Replica) -> Iterator[None]:
     replica.in_flight += 1
--- a/marigoldhoist/components/placement/model_sizes.py
+++ b/marigoldhoist/components/placement/model_sizes.py
@@ -6,15 +6,15 @@
 """
 
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 # Below this opinion of itself, 0 to 100, an answer is asked for again; by the
 # route's priority, as urgent requests are worth more of a large model's time.
 CONFIDENCE_BY_PRIORITY: Final = (60, 55, 40)
-# A larger model is asked only while this share of the time to the first event
-# that is aimed at is left.
-LEAST_TIME_SHARE: Final = 0.35
+# Of the time to the first event that is left, a larger model may be expected
+# to take this share.
+TIME_SHARE: Final = 0.9
 # Requests per slot above which nothing is asked for again.
 BUSY: Final = 0.9
 
@@ -23,15 +23,17 @@
 class Doubt:
     """An answer that may be dropped, and what dropping it depends on.
 
-    `time_share_left` is the part of the objective that is left, `load` the
-    mean requests per slot at the replicas of the service.
+    `left_s` is what is left of the objective, `load` the mean requests per
+    slot at the replicas of the service. `expected_s` takes a model and
+    returns the seconds to its first event, none where they are unknown.
     """
 
     confidence: int | None
     priority: int
-    time_share_left: float
+    left_s: float
     load: float
     attempts_left: int
+    expected_s: Callable[[str], float | None]
 
 
 def first_model(models: Sequence[str]) -> str:
@@ -41,13 +43,21 @@
 
 def larger_model(models: Sequence[str], asked: str, doubt: Doubt) -> str:
     """Return the model to ask instead, empty to keep the answer."""
-    if len(models) < 2 or asked == models[-1] or doubt.confidence is None:
+    if asked not in models or doubt.confidence is None:
         return ''
     if doubt.attempts_left < 1 or doubt.load > BUSY:
         return ''
-    if doubt.time_share_left < LEAST_TIME_SHARE:
-        return ''
     rank = min(max(0, doubt.priority), len(CONFIDENCE_BY_PRIORITY) - 1)
     if doubt.confidence >= CONFIDENCE_BY_PRIORITY[rank]:
         return ''
-    return models[-1]
+    larger = models[models.index(asked) + 1 :]
+    return next(
+        (model for model in reversed(larger) if _is_in_time(model, doubt)), ''
+    )
+
+
+def _is_in_time(model: str, doubt: Doubt) -> bool:
+    expected_s = doubt.expected_s(model)
+    if expected_s is None:
+        return doubt.left_s > 0
+    return expected_s < TIME_SHARE * doubt.left_s
