--- a/marigoldhoist/components/canary/judge.py
+++ b/marigoldhoist/components/canary/judge.py
@@ -7,7 +7,9 @@
 
 import collections
 import dataclasses
+import itertools
 import statistics
+from collections.abc import Iterator
 from typing import Final
 
 from marigoldhoist.components.canary.const import (
@@ -58,13 +60,7 @@
         """Return why the version is bad, empty where nothing shows that."""
         works = self._seen[target]
         failed = sum(_failures(seen) for seen in works.values())
-        others = [
-            answer
-            for version, by_work in self._seen.items()
-            if version != target
-            for seen in by_work.values()
-            for answer in seen
-        ]
+        others = list(self._answers_of_others(target))
         if failed >= LEAST_FAILURES and self._fails_more(works, others):
             return f'{failed} failures'
         for work, seen in works.items():
@@ -72,6 +68,11 @@
                 return f'slow on {work}'
         return ''
 
+    def _answers_of_others(self, target: str) -> Iterator[SeenAnswer]:
+        for version, seen_by_work in self._seen.items():
+            if version != target:
+                yield from itertools.chain.from_iterable(seen_by_work.values())
+
     def _fails_more(
         self,
         works: dict[str, collections.deque[SeenAnswer]],
@@ -92,10 +93,8 @@
         ]
         usual = [
             answer.relative_time
-            for version, by_work in self._seen.items()
-            if version != target
-            for answer in by_work[work]
-            if not answer.is_failure
+            for answer in self._answers_of_others(target)
+            if answer.work == work and not answer.is_failure
         ]
         if min(len(good), len(usual)) < LEAST_SLOW_ANSWERS:
             return False
--- a/marigoldhoist/components/canary/service.py
+++ b/marigoldhoist/components/canary/service.py
@@ -1,27 +1,18 @@
-"""Follow roll-outs: choose versions, judge the new one, store the state.
-
-Every daemon judges by what it sees itself and may store any next state. A
-state is appended only where the topic still ends where this daemon read it
-to, so that of two daemons one succeeds and the other reads its state.
-"""
+"""Follow roll-outs: choose versions and judge the new one."""
 
 import asyncio
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 from marigoldhoist.components.canary.const import (
     COMPLETE_AT,
     COMPLETE_LATEST_AT,
     STATUS_PAUSE_S,
     STATUS_WAIT_S,
-    TICK_S,
-    WRITE_SPREAD_S,
 )
 from marigoldhoist.components.canary.events import (
     ROLL_OUT_MOVED,
     ROLL_OUT_ORDERED,
-    STATUS_NOT_WRITTEN,
-    STATUS_WRITTEN,
     VERSION_FOUND_BAD,
 )
 from marigoldhoist.components.canary.judge import SeenAnswer, VersionJudge
@@ -36,14 +27,14 @@
     position_of,
     share_of_target,
 )
+from marigoldhoist.components.canary.status_writer import (
+    EncodeStatus,
+    StatusWriter,
+)
 from marigoldhoist.components.directory.const import COMPONENT as DIRECTORY
 from marigoldhoist.components.directory.models import ReplicaEntry
 from marigoldhoist.components.directory.service import DirectoryService
 from marigoldhoist.components.feeds.const import COMPONENT as FEEDS
-from marigoldhoist.components.feeds.errors import (
-    ConditionFailedError,
-    StoreUnavailableError,
-)
 from marigoldhoist.components.feeds.feed import FeedNews, FeedPlan
 from marigoldhoist.components.feeds.models import Topic
 from marigoldhoist.components.feeds.service import FeedService
@@ -53,9 +44,6 @@
 from marigoldhoist.core.kernel import BaseService, Kernel
 from marigoldhoist.core.promises import PromiseSettings
 
-# Returns the topic's key and the record of a status.
-EncodeStatus = Callable[[RollOutStatus], tuple[str, bytes]]
-
 
 class CanaryService(BaseService):
     """Roll-outs by service."""
@@ -67,20 +55,18 @@
         self._judge_by_service: dict[str, VersionJudge] = {}
         self._sessions = SessionMemory(self._promises.session_gap_ms / MS_PER_S)
         self._tell_status: Callable[[FeedNews], None] | None = None
-        self._encode: EncodeStatus | None = None
         self._writer: asyncio.Task[None] | None = None
         self.roll_out_by_service: dict[str, RollOut] = {}
 
     def attach(
         self, tell_status: Callable[[FeedNews], None], encode: EncodeStatus
     ) -> None:
-        """Use that translation of stored states."""
+        """Use that translation of stored states and begin to store them."""
         self._tell_status = tell_status
-        self._encode = encode
-
-    def start(self) -> None:
-        """Begin to move roll-outs on."""
-        self._writer = asyncio.get_running_loop().create_task(self._run())
+        writer = StatusWriter(
+            self.roll_out_by_service, self._directory, self._feeds, encode
+        )
+        self._writer = asyncio.get_running_loop().create_task(writer.run())
 
     def stop(self) -> None:
         """Stop moving roll-outs on."""
@@ -132,7 +118,9 @@
         if self._gets_target(roll_out, session):
             return (target, *others)
         progress = roll_out.progress(SYSTEM_CLOCK.boottime_s())
-        return others or ((target,) if progress > COMPLETE_AT else ())
+        if others or progress < COMPLETE_AT:
+            return others
+        return (target,)
 
     def note_answer(
         self, entry: ReplicaEntry, session: str, answer: SeenAnswer
@@ -196,69 +184,3 @@
             return
         plan = FeedPlan(Topic.STATUS, STATUS_WAIT_S, STATUS_PAUSE_S)
         self._feeds.follow(plan, self._tell_status)
-
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            for roll_out in self._open_roll_outs():
-                wanted = self._wanted_state(roll_out)
-                if wanted is not roll_out.state:
-                    await self._store(roll_out, wanted)
-            if not any(self._open_roll_outs()):
-                self._feeds.unfollow(Topic.STATUS)
-
-    def _open_roll_outs(self) -> Iterator[RollOut]:
-        for roll_out in tuple(self.roll_out_by_service.values()):
-            if not roll_out.state.is_final:
-                yield roll_out
-
-    def _wanted_state(self, roll_out: RollOut) -> RollOutState:
-        progress = roll_out.progress(SYSTEM_CLOCK.boottime_s())
-        if roll_out.is_held:
-            return RollOutState.ROLLED_BACK
-        if progress > COMPLETE_LATEST_AT:
-            return RollOutState.COMPLETED
-        if progress > COMPLETE_AT and not self._has_old_work(roll_out):
-            return RollOutState.COMPLETED
-        if roll_out.state is RollOutState.ORDERED:
-            return RollOutState.RUNNING
-        return roll_out.state
-
-    def _has_old_work(self, roll_out: RollOut) -> bool:
-        return any(
-            replica.in_flight
-            for replica in self._directory.replica_by_host.values()
-            if replica.entry.service == roll_out.order.service
-            and replica.entry.version != roll_out.order.target
-        )
-
-    async def _store(self, roll_out: RollOut, wanted: RollOutState) -> None:
-        """Append the state, unless another daemon is seen to do so first."""
-        known = roll_out.state
-        if wanted is not RollOutState.ROLLED_BACK:
-            await asyncio.sleep(random.random() * WRITE_SPREAD_S)
-        feed = self._feeds.feed_by_topic.get(Topic.STATUS)
-        if roll_out.state is not known or feed is None or feed.end is None:
-            return
-        order = roll_out.order
-        status = RollOutStatus(order.service, order.target, wanted)
-        fields = {
-            'service': order.service,
-            'target': order.target,
-            'state': wanted.value,
-            'expected_end': feed.end,
-        }
-        try:
-            await self._append(status, feed.end)
-        except (ConditionFailedError, StoreUnavailableError) as error:
-            emit(STATUS_NOT_WRITTEN, reason=str(error), **fields)
-            await asyncio.sleep(STATUS_PAUSE_S)
-            return
-        emit(STATUS_WRITTEN, **fields)
-        self.take_status(status)
-
-    async def _append(self, status: RollOutStatus, end: int) -> None:
-        if self._encode is None:
-            return
-        key, record = self._encode(status)
-        await self._feeds.store.append(Topic.STATUS, key, record, end)
--- a/marigoldhoist/components/gateway/caller.py
+++ b/marigoldhoist/components/gateway/caller.py
@@ -117,22 +117,26 @@
     async def _body(self, head: MessageHead) -> bytes:
         if head.value(b'expect').lower() == '100-continue':
             await self.write(CONTINUE)
-        limits = self._callers.limits
-        parts: list[bytes] = []
-        size = 0
         try:
-            async with asyncio.timeout(limits.idle_timeout_s):
-                while (item := await self._next()) is not End.OF_MESSAGE:
-                    if not isinstance(item, bytes):
-                        raise _malformed('a head within a body')
-                    size += len(item)
-                    if size > limits.max_body_bytes:
-                        raise _too_large('body', ErrorCode.BODY_TOO_LARGE)
-                    parts.append(item)
+            async with asyncio.timeout(self._callers.limits.idle_timeout_s):
+                return await self._whole_body()
         except TimeoutError as error:
             raise RefusedRequestError(
                 RequestFailure(ErrorCode.TOO_SLOW, 'the body came too slowly')
             ) from error
+
+    async def _whole_body(self) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        item = await self._next()
+        while item is not End.OF_MESSAGE:
+            if not isinstance(item, bytes):
+                raise _malformed('a head within a body')
+            size += len(item)
+            if size > self._callers.limits.max_body_bytes:
+                raise _too_large('body', ErrorCode.BODY_TOO_LARGE)
+            parts.append(item)
+            item = await self._next()
         return b''.join(parts)
 
     async def _next(self) -> Item:
--- a/marigoldhoist/components/gateway/choosing.py
+++ b/marigoldhoist/components/gateway/choosing.py
@@ -116,27 +116,31 @@
         prompt = wanted.prompt
         if prompt is None or not prompt.tokens_in or len(prompt.parts) < 2:
             return {}
-        now_s = SYSTEM_CLOCK.boottime_s()
-        part_ids = [part.part_id for part in prompt.parts]
         shared = prompt.parts[:-1]
         home = pick_by_weight(
             {replica.host: replica.slots for replica in replicas},
             shared[-1].part_id,
         )
+        tokens_by_host = {
+            replica.host: self._held_tokens(replica.host, wanted.model, prompt)
+            for replica in replicas
+        }
         assumed = ASSUMED_CACHED * sum(part.tokens for part in shared)
-        tokens_by_host = {home: assumed}
-        for replica in replicas:
-            held = self.prefixes.leading_parts(
-                replica.host, wanted.model, part_ids, now_s
-            )
-            tokens = sum(part.tokens for part in prompt.parts[:held])
-            known = tokens_by_host.get(replica.host, 0)
-            tokens_by_host[replica.host] = max(known, tokens)
+        tokens_by_host[home] = max(tokens_by_host[home], assumed)
         return {
             host: min(1, tokens / prompt.tokens_in)
             for host, tokens in tokens_by_host.items()
         }
 
+    def _held_tokens(self, host: str, model: str, prompt: Prompt) -> float:
+        held = self.prefixes.leading_parts(
+            host,
+            model,
+            [part.part_id for part in prompt.parts],
+            SYSTEM_CLOCK.boottime_s(),
+        )
+        return sum(part.tokens for part in prompt.parts[:held])
+
     def _context(
         self, replicas: Sequence[Replica], wanted: Wanted
     ) -> PickContext:
--- a/marigoldhoist/components/gateway/connection.py
+++ b/marigoldhoist/components/gateway/connection.py
@@ -46,9 +46,10 @@
         return bool(self._parser.items) or self._is_malformed
 
     @property
-    def has_unsent_output(self) -> bool:
-        """Tell whether written bytes still wait to be sent."""
-        return self.transport.get_write_buffer_size() > 0
+    def is_quiet(self) -> bool:
+        """Tell whether the connection is open and nothing is under way."""
+        is_sent = self.transport.get_write_buffer_size() == 0
+        return is_sent and not self.has_input and not self.is_ended
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
--- a/marigoldhoist/components/gateway/messages.py
+++ b/marigoldhoist/components/gateway/messages.py
@@ -131,7 +131,10 @@
     """Adds what only the parser of answers knows when a head is complete."""
 
     parser: httptools.HttpResponseParser
-    _is_interim = False
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._is_interim = False
 
     def on_headers_complete(self) -> None:
         """End the head, unless it is that of an interim answer."""
@@ -194,10 +197,7 @@
 
 
 def _header_parts(headers: Iterable[Header]) -> list[bytes]:
-    parts: list[bytes] = []
-    for name, content in headers:
-        parts += (name, b': ', content, CRLF)
-    return parts
+    return [b'%b: %b\r\n' % header for header in headers]
 
 
 def _status_parts(status: int) -> tuple[bytes, ...]:
--- a/marigoldhoist/components/gateway/plain_delivery.py
+++ b/marigoldhoist/components/gateway/plain_delivery.py
@@ -35,7 +35,8 @@
             if is_failure and self._is_worth_another(route):
                 return False
             self._progress.served_by = answer.replica.host
-        await self._caller.answer(answer.head, body)
+            head = answer.head
+        await self._caller.answer(head, body)
         return True
 
     def _is_worth_another(self, route: Route) -> bool:
--- a/marigoldhoist/components/gateway/pool.py
+++ b/marigoldhoist/components/gateway/pool.py
@@ -117,7 +117,7 @@
             if not _is_fresh(kept[-1], now_s, share):
                 return None
             connection = kept.pop().connection
-            if not connection.is_ended and not connection.has_input:
+            if connection.is_quiet:
                 connection.is_idle = False
                 return connection
             connection.close()
--- a/marigoldhoist/components/gateway/sending.py
+++ b/marigoldhoist/components/gateway/sending.py
@@ -11,7 +11,7 @@
     MalformedMessageError,
 )
 from marigoldhoist.components.gateway.events import ANSWER_PASSED_OVER
-from marigoldhoist.components.gateway.messages import End, MessageHead
+from marigoldhoist.components.gateway.messages import End, Item, MessageHead
 from marigoldhoist.components.gateway.models import (
     AnswerSigns,
     Call,
@@ -57,24 +57,26 @@
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; AttemptError where it ends early."""
-        while True:
-            try:
-                item = await self._connection.next_item()
-            except ConnectionEndedError as error:
-                if self.head.ends_with_connection and not error.was_reset:
-                    return
-                raise AttemptError(
-                    'answer cut', Verdict.MAY_HAVE_RUN
-                ) from error
-            except MalformedMessageError as error:
-                raise AttemptError(
-                    'answer malformed', Verdict.MAY_HAVE_RUN
-                ) from error
-            if item is End.OF_MESSAGE:
-                self._is_whole = True
-                return
+        item = await self._next_item()
+        while item is not End.OF_MESSAGE:
             if isinstance(item, bytes):
                 yield item
+            item = await self._next_item()
+
+    async def _next_item(self) -> Item:
+        """Return what comes next of the answer, at last its end."""
+        try:
+            item = await self._connection.next_item()
+        except ConnectionEndedError as error:
+            if self.head.ends_with_connection and not error.was_reset:
+                return End.OF_MESSAGE
+            raise AttemptError('answer cut', Verdict.MAY_HAVE_RUN) from error
+        except MalformedMessageError as error:
+            raise AttemptError(
+                'answer malformed', Verdict.MAY_HAVE_RUN
+            ) from error
+        self._is_whole = item is End.OF_MESSAGE
+        return item
 
     async def body(self) -> bytes:
         """Return the whole body; AttemptError where it ends early."""
@@ -82,18 +84,11 @@
 
     def release(self, pool: ReplicaPool) -> None:
         """Keep the connection if it is clean, else end it."""
-        connection = self._connection
-        is_clean = (
-            self._is_whole
-            and self.head.keeps_alive
-            and not connection.is_ended
-            and not connection.has_input
-            and not connection.has_unsent_output
-        )
-        if is_clean:
-            pool.give_back(self.replica, connection)
+        is_over = self._is_whole and self.head.keeps_alive
+        if is_over and self._connection.is_quiet:
+            pool.give_back(self.replica, self._connection)
         else:
-            connection.abort()
+            self._connection.abort()
 
 
 class Sender:
@@ -194,19 +189,29 @@
 
     async def _judge(self, answer: RunningAnswer) -> None:
         """Raise AttemptError for an answer that callers must not get."""
-        signs = answer.signs
-        if signs.is_other_replica:
+        if answer.signs.is_other_replica:
             self._directory.note_replaced(answer.replica)
             raise AttemptError('another replica answered', Verdict.NOT_RUN)
-        if signs.was_not_run:
+        if answer.signs.was_not_run:
             await answer.body()
             raise AttemptError('replica refused', Verdict.NOT_RUN)
-        if answer.is_success and (not signs.is_signed or signs.is_encoded):
-            raise AttemptError('answer not signed', Verdict.MAY_HAVE_RUN)
-        if not signs.request_id:
-            raise AttemptError('answer without id', Verdict.MAY_HAVE_RUN)
-        if answer.head.status in NOT_RUN_STATUSES:
-            raise AttemptError('refusal may have run', Verdict.MAY_HAVE_RUN)
+        complaint = _complaint(answer)
+        if complaint:
+            raise AttemptError(complaint, Verdict.MAY_HAVE_RUN)
+
+
+def _complaint(answer: RunningAnswer) -> str:
+    """Return why an answer must not be delivered, empty where it may be."""
+    signs = answer.signs
+    if not signs.request_id:
+        return 'answer without id'
+    if answer.is_success and not signs.is_signed:
+        return 'answer not signed'
+    if answer.is_success and signs.is_encoded:
+        return 'answer in an encoding that was not asked for'
+    if answer.head.status in NOT_RUN_STATUSES:
+        return 'refusal that does not say that it was not run'
+    return ''
 
 
 @contextlib.contextmanager
--- a/marigoldhoist/components/gateway/service.py
+++ b/marigoldhoist/components/gateway/service.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import random
-from functools import partial
 
 from marigoldhoist.components.canary.const import COMPONENT as CANARY
 from marigoldhoist.components.canary.service import CanaryService
 from marigoldhoist.components.configuration.const import (
     COMPONENT as CONFIGURATION,
 )
-from marigoldhoist.components.configuration.models import CallerLimits
 from marigoldhoist.components.configuration.service import ConfigurationService
 from marigoldhoist.components.directory.const import COMPONENT as DIRECTORY
 from marigoldhoist.components.directory.models import Replica
@@ -38,10 +36,8 @@
 from marigoldhoist.components.gateway.pool import ReplicaPool
 from marigoldhoist.components.gateway.repeats import RepeatBudgets
 from marigoldhoist.components.gateway.sending import Sender
-from marigoldhoist.components.gateway.settings import (
-    GatewaySettings,
-    split_address,
-)
+from marigoldhoist.components.gateway.server import CallerServer
+from marigoldhoist.components.gateway.settings import GatewaySettings
 from marigoldhoist.components.gateway.stopping import StopClock
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.const import MS_PER_S
@@ -52,7 +48,6 @@
 from marigoldhoist.core.promises import PromiseSettings
 
 HOUSEKEEPING_S = 0.25
-BACKLOG = 512
 READY = 200
 NOT_READY = 503
 
@@ -69,19 +64,13 @@
         self._canary = kernel.find(CANARY, CanaryService)
         self._pool = ReplicaPool()
         self._desk: Desk | None = None
-        self._connections: set[CallerConnection] = set()
-        self._servers: list[asyncio.Server] = []
+        self._server = CallerServer(self._configuration)
         self._tasks: list[asyncio.Task[None]] = []
         self._was_ready = False
         self.is_stopping = False
         self._stop_begun_s: float = 0
         self._directory.on_gone(self._forget)
 
-    @property
-    def limits(self) -> CallerLimits:
-        """Return what callers may send."""
-        return self._configuration.limits
-
     @property
     def desk(self) -> Desk:
         """Return what exchanges use; KernelError before it is attached."""
@@ -113,30 +102,13 @@
             self._stop_clock,
         )
 
-    def opened(self, connection: CallerConnection) -> None:
-        """Take note of a new connection."""
-        self._connections.add(connection)
-
-    def closed(self, connection: CallerConnection) -> None:
-        """Take note that a connection is over."""
-        self._connections.discard(connection)
-
     async def listen(self) -> None:
         """Accept callers and the balancer's questions."""
+        await self._server.listen(
+            self._settings.readiness, self._serve_readiness
+        )
+        await self._server.listen(self._settings.callers, self._serve_caller)
         loop = asyncio.get_running_loop()
-        for address, serve in (
-            (self._settings.readiness, self._serve_readiness),
-            (self._settings.callers, self._serve_caller),
-        ):
-            host, port = split_address(address)
-            self._servers.append(
-                await loop.create_server(
-                    partial(CallerConnection, self, serve),
-                    host,
-                    port,
-                    backlog=BACKLOG,
-                )
-            )
         self._tasks.append(loop.create_task(self._keep_house()))
         emit(GATEWAY_LISTENING, callers=self._settings.callers)
 
@@ -144,19 +116,22 @@
         """Finish what is in flight within the time allowed for a stop."""
         self.is_stopping = True
         self._stop_begun_s = SYSTEM_CLOCK.monotonic_s()
-        emit(STOP_BEGUN, open=len(self._connections), serving=self._serving)
+        emit(
+            STOP_BEGUN,
+            open=self._server.open_count,
+            serving=self._server.serving_count,
+        )
         await asyncio.sleep(min(BALANCER_NOTICE_S, self._grace_s))
         while SYSTEM_CLOCK.monotonic_s() < self._stop_begun_s + self._grace_s:
-            self._close_idle()
-            if not self._connections:
+            self._server.close_idle()
+            if not self._server.open_count:
                 break
             await asyncio.sleep(STOP_POLL_S)
-        emit(STOP_ENDED, cut=self._serving)
+        emit(STOP_ENDED, cut=self._server.serving_count)
 
     def stop(self) -> None:
         """Stop listening."""
-        for server in self._servers:
-            server.close()
+        self._server.close()
         for task in self._tasks:
             task.cancel()
 
@@ -170,15 +145,6 @@
         since_s = SYSTEM_CLOCK.monotonic_s() - self._stop_begun_s
         return StopClock(since_s, self._grace_s - since_s)
 
-    @property
-    def _serving(self) -> int:
-        return sum(1 for one in self._connections if one.is_serving)
-
-    def _close_idle(self) -> None:
-        for connection in tuple(self._connections):
-            if not connection.is_serving and not connection.has_input:
-                connection.close()
-
     async def _serve_caller(
         self, connection: CallerConnection, head: MessageHead, body: bytes
     ) -> bool:
--- a/marigoldhoist/components/gateway/splitter.py
+++ b/marigoldhoist/components/gateway/splitter.py
@@ -29,7 +29,8 @@
 
     def feed(self, received: bytes) -> Iterator[StreamEvent]:
         """Yield the events that are whole now."""
-        *whole, self._rest = (self._rest + received).split(EVENT_END)
+        *whole, rest = (self._rest + received).split(EVENT_END)
+        self._rest = rest
         for raw in whole:
             yield StreamEvent(_number(raw), raw + EVENT_END)
 
--- a/marigoldhoist/platform/records.py
+++ b/marigoldhoist/platform/records.py
@@ -151,9 +151,7 @@
     return Configuration(
         row.version,
         {
-            authority: tuple(
-                sorted(found, key=lambda route: -len(route.path_prefix))
-            )
+            authority: tuple(sorted(found, key=_prefix_length, reverse=True))
             for authority, found in routes.items()
         },
         {
@@ -255,3 +253,7 @@
         {model.name: model.cost for model in engine.models},
         engine.kv_capacity_tokens,
     )
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.path_prefix)
--- a/marigoldhoist/platform/store.py
+++ b/marigoldhoist/platform/store.py
@@ -67,7 +67,9 @@
     """Calls to the store over a few connections that are kept."""
 
     def __init__(self, address: str) -> None:
-        self._host, self._port = split_address(address)
+        host, port = split_address(address)
+        self._host = host
+        self._port = port
         self._idle: list[HttpConnection] = []
 
     async def newest(self, topic: Topic) -> Batch:
@@ -193,9 +195,11 @@
     if not isinstance(head, MessageHead):
         raise MalformedMessageError('a body without a head')
     parts: list[bytes] = []
-    while (item := await connection.next_item()) is not End.OF_MESSAGE:
+    item = await connection.next_item()
+    while item is not End.OF_MESSAGE:
         if isinstance(item, bytes):
             parts.append(item)
+        item = await connection.next_item()
     return head, b''.join(parts)
 
 
@@ -213,7 +217,7 @@
     """Yield the records of a read; an incomplete last one is left out."""
     start = 0
     while start + LENGTH.size <= len(raw):
-        (length,) = LENGTH.unpack_from(raw, start)
+        length = LENGTH.unpack_from(raw, start)[0]
         start += LENGTH.size
         record = raw[start : start + length]
         if len(record) < length:
@@ -224,7 +228,7 @@
 
 
 def _record(record: bytes, offset: int) -> KeyedRecord:
-    key_end = KEY_LENGTH_BYTES + (record[0] if record else 0)
+    key_end = KEY_LENGTH_BYTES + int.from_bytes(record[:KEY_LENGTH_BYTES])
     key = record[KEY_LENGTH_BYTES:key_end].decode('utf-8', 'replace')
     value = record[key_end:]
     return KeyedRecord(key, value or None, offset)
