Bound and structure the gateway's logs, add metrics, heed Connection: close

Cause: a caller's wish to close was read after the parser had reset its flags, found by the first tests against stand-ins; a stream of which every replica had broken off was cut with attempts left. Change: both mended; log lines go to standard output within a budget that keeps failed requests whole; metrics of requests, attempts and beliefs; stand-ins of the store and the replicas with tests of wrong answers.

--- a/marigoldhoist/components/feeds/feed.py
+++ b/marigoldhoist/components/feeds/feed.py
@@ -59,11 +59,13 @@
         plan: FeedPlan,
         store: Store,
         tell: Callable[[FeedNews], None],
+        count: Callable[[str], None],
         clock: SystemClock = SYSTEM_CLOCK,
     ) -> None:
         self._plan = plan
         self._store = store
         self._tell = tell
+        self._count = count
         self._clock = clock
         self._end: int | None = None
         self._lost_s: float | None = None
@@ -93,6 +95,7 @@
             try:
                 await self.read_once()
             except StoreUnavailableError as error:
+                self._count('failed')
                 self._note_lost(str(error))
                 await asyncio.sleep(self._pause_s)
                 self._pause_s = min(LONGEST_PAUSE_S, self._pause_s * GROWTH)
@@ -107,9 +110,11 @@
             batch = await self._read()
         except HistoryLostError:
             self._end = None
+            self._count('history_lost')
             emit(TOPIC_READ_ANEW, topic=self._plan.topic.value)
             return
         self._note_sound()
+        self._count('read')
         self._end = batch.end
         self._tell(FeedNews(batch, sent_s, is_whole))
 
--- a/marigoldhoist/components/feeds/service.py
+++ b/marigoldhoist/components/feeds/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from marigoldhoist.components.feeds.feed import Feed, FeedNews, FeedPlan
 from marigoldhoist.components.feeds.models import Store, Topic
@@ -13,7 +14,11 @@
     """Feeds by topic; the platform's adapter attaches the store."""
 
     def __init__(self, kernel: Kernel) -> None:
-        self._kernel = kernel
+        self._calls = kernel.metrics.counter(
+            'store_calls',
+            'Reads of the store, by topic and outcome.',
+            ('topic', 'outcome'),
+        )
         self._store: Store | None = None
         self._task_by_topic: dict[Topic, asyncio.Task[None]] = {}
         self.feed_by_topic: dict[Topic, Feed] = {}
@@ -31,12 +36,15 @@
 
     def follow(self, plan: FeedPlan, tell: Callable[[FeedNews], None]) -> None:
         """Follow a topic on a task of its own."""
-        feed = Feed(plan, self.store, tell)
+        feed = Feed(plan, self.store, tell, partial(self._count, plan.topic))
         self.feed_by_topic[plan.topic] = feed
         self._task_by_topic[plan.topic] = (
             asyncio.get_running_loop().create_task(feed.follow())
         )
 
+    def _count(self, topic: Topic, outcome: str) -> None:
+        self._calls.labels(topic.value, outcome).inc()
+
     def unfollow(self, topic: Topic) -> None:
         """Stop following a topic."""
         task = self._task_by_topic.pop(topic, None)
--- a/marigoldhoist/components/gateway/admission.py
+++ b/marigoldhoist/components/gateway/admission.py
@@ -52,6 +52,16 @@
         """Tell whether calls with keys may be served."""
         return self._configuration.age_s < self._longest_key_age_s
 
+    def belief(self) -> dict[str, object]:
+        """Return the version in force and its age, for the log."""
+        current = self._configuration.current
+        return {
+            'configuration': current.version if current else None,
+            'configuration_age_s': round(self._configuration.age_s, 3)
+            if current
+            else None,
+        }
+
     def admit(self, call: Call) -> Admitted | RequestFailure:
         """Return what the call may use, or why it is refused."""
         current = self._configuration.current
--- a/marigoldhoist/components/gateway/attempts.py
+++ b/marigoldhoist/components/gateway/attempts.py
@@ -1,7 +1,7 @@
 """Try replicas for one call: choose, send, and decide on another try."""
 
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Container
 from typing import Final
 
 from marigoldhoist.components.canary.judge import SeenAnswer
@@ -22,7 +22,6 @@
 from marigoldhoist.components.gateway.sending import RunningAnswer
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
-from marigoldhoist.core.events import emit
 from marigoldhoist.core.verdict import Verdict
 
 # Replicas that cannot be connected to, before the call is refused.
@@ -35,7 +34,6 @@
     def __init__(self, progress: Progress, desk: Desk) -> None:
         self._progress = progress
         self._desk = desk
-        self._unreached = 0
 
     def admit(self) -> Admitted:
         """Return what the call may use now; RefusedError for nothing."""
@@ -58,7 +56,7 @@
         """
         progress = self._progress
         admitted = self.admit()
-        replica = self._choose()
+        replica = self._choose(admitted.route)
         if progress.left_s < MIN_SEND_S:
             raise RefusedError(self.time_is_up())
         self._note_sent(replica)
@@ -108,22 +106,22 @@
         progress.last_reason = error.reason
         if not error.was_sent:
             progress.sends -= 1
-            self._unreached += 1
+            progress.unreached.add(progress.asked)
         if error.verdict is not Verdict.NOT_RUN:
             progress.verdict = error.verdict
-        emit(
+        progress.note(
             ATTEMPT_FAILED,
             reason=error.reason,
             verdict=error.verdict.value,
             sends=progress.sends,
-            **progress.log_fields(),
         )
+        self._desk.metrics.attempts.labels(progress.service, error.reason).inc()
 
     def require_another(self, route: Route, error: AttemptError) -> None:
         """Raise RefusedError unless another replica may be tried."""
         verdict = self._progress.verdict
         if verdict is Verdict.NOT_RUN or route.is_repeatable:
-            if not error.was_sent and self._unreached < MOST_UNREACHED:
+            if not error.was_sent and self._may_reach_another:
                 return
             if self.may_send_again(route):
                 return
@@ -155,6 +153,10 @@
             ErrorCode.OVERLOADED, 'no time is left', 0
         )
 
+    @property
+    def _may_reach_another(self) -> bool:
+        return len(self._progress.unreached) < MOST_UNREACHED
+
     def _expected_reading_s(self) -> float:
         prompt = self._progress.call.prompt
         if prompt is None:
@@ -167,38 +169,31 @@
     def _note_sent(self, replica: Replica) -> None:
         progress = self._progress
         progress.sends += 1
+        progress.asked = replica.host
         progress.tried.add(replica.host)
         self._desk.canary.keep_session(
             progress.call.session, replica.entry.version
         )
-        report = replica.report
-        emit(
-            REQUEST_SENT,
-            replica=replica.host,
-            version=replica.entry.version,
-            model=progress.model,
-            tokens_in=progress.call.prompt.tokens_in
-            if progress.call.prompt
-            else None,
-            own_in_flight=replica.in_flight,
-            counted_in_flight=report.in_flight if report else None,
-            count_age_s=round(SYSTEM_CLOCK.boottime_s() - report.counted_s, 3)
-            if report
-            else None,
-            sends=progress.sends,
-            left_s=round(progress.left_s, 3),
-            **progress.log_fields(),
-        )
+        progress.note(REQUEST_SENT, **_sent_fields(progress, replica))
         if progress.has_begun:
-            emit(
+            progress.note(
                 STREAM_RESUMED,
                 replica=replica.host,
                 after_event=progress.last_event,
-                **progress.log_fields(),
             )
 
-    def _choose(self) -> Replica:
-        """Choose among the replicas of the first version that has one left."""
+    def _choose(self, route: Route) -> Replica:
+        """Choose a replica, one that was tried only where none is left."""
+        progress = self._progress
+        picked = self._pick(progress.tried)
+        if picked is None and route.is_repeatable:
+            picked = self._pick(progress.unreached)
+        if picked is None:
+            raise RefusedError(self._no_replica())
+        return picked
+
+    def _pick(self, excluded: Container[str]) -> Replica | None:
+        """Pick among the replicas of the first version that has one left."""
         progress = self._progress
         call = progress.call
         usable = self._desk.directory.usable(progress.service)
@@ -210,13 +205,14 @@
                 if not version or one.entry.version == version
             ]
             picked = self._desk.picker.pick(
-                Wanted(replicas, progress.tried, progress.model, call.prompt)
+                Wanted(replicas, excluded, progress.model, call.prompt)
             )
             if picked is not None:
                 return picked
-        raise RefusedError(self._no_replica(len(usable)))
+        return None
 
-    def _no_replica(self, usable: int) -> RequestFailure:
+    def _no_replica(self) -> RequestFailure:
+        usable = len(self._desk.directory.usable(self._progress.service))
         if self._progress.verdict is not Verdict.NOT_RUN:
             return self._upstream_failed()
         return self._desk.admission.refusal(
@@ -231,3 +227,22 @@
             self._progress.last_reason or 'a replica failed the request',
             self._progress.verdict,
         )
+
+
+def _sent_fields(progress: Progress, replica: Replica) -> dict[str, object]:
+    """Return what decided a send, with the age of the replica's own count."""
+    report = replica.report
+    prompt = progress.call.prompt
+    now_s = SYSTEM_CLOCK.boottime_s()
+    return {
+        'replica': replica.host,
+        'version': replica.entry.version,
+        'model': progress.model,
+        'tokens_in': prompt.tokens_in if prompt else None,
+        'own_in_flight': replica.in_flight,
+        'reading_s': round(replica.reading_s, 3),
+        'counted_in_flight': report.in_flight if report else None,
+        'count_age_s': round(now_s - report.counted_s, 3) if report else None,
+        'sends': progress.sends,
+        'left_s': round(progress.left_s, 3),
+    }
--- a/marigoldhoist/components/gateway/exchange.py
+++ b/marigoldhoist/components/gateway/exchange.py
@@ -19,9 +19,9 @@
 )
 from marigoldhoist.components.gateway.models import Call
 from marigoldhoist.components.gateway.progress import Progress
+from marigoldhoist.components.gateway.request_log import RequestLog
 from marigoldhoist.components.placement.model_sizes import first_model
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
-from marigoldhoist.core.events import emit
 
 
 class Exchange:
@@ -38,7 +38,9 @@
         self._call = call
         self._desk = desk
         self._caller = Caller(connection, desk, closes=closes)
-        self._progress = Progress(call, last_event=call.resume_after)
+        self._progress = Progress(
+            call, RequestLog(desk.logs), last_event=call.resume_after
+        )
         self._attempts = Attempts(self._progress, desk)
 
     async def run(self) -> bool:
@@ -50,12 +52,7 @@
         except TimeoutError:
             return await self._fail(self._attempts.time_is_up())
         except asyncio.CancelledError:
-            emit(
-                CALLER_LEFT,
-                sends=self._progress.sends,
-                events=self._progress.last_event,
-                **self._progress.log_fields(),
-            )
+            self._note_left()
             raise
         self._note_end()
         return not self._caller.closes
@@ -93,16 +90,20 @@
     async def _fail(self, failure: RequestFailure) -> bool:
         """End with the daemon's own answer, or cut what has begun."""
         progress = self._progress
-        emit(
+        progress.note(
             REQUEST_BROKEN_OFF if progress.has_begun else REQUEST_FAILED,
             code=failure.code.value,
             reason=failure.message,
             verdict=failure.verdict.value,
             sends=progress.sends,
             status=failure.http_status,
+            retry_after_s=failure.retry_after_s,
             path=self._call.path,
-            **progress.log_fields(),
+            **self._desk.admission.belief(),
         )
+        progress.log.end_failed()
+        outcome = 'broken_off' if progress.has_begun else 'failed'
+        self._count(outcome, failure.code.value)
         if progress.has_begun:
             self._caller.cut()
             return False
@@ -114,12 +115,30 @@
     def _note_end(self) -> None:
         progress = self._progress
         first_s = progress.first_s
-        emit(
+        progress.note(
             REQUEST_ENDED,
             replica=progress.served_by,
             model=progress.model,
             sends=progress.sends,
             events=progress.last_event,
             first_s=None if first_s is None else round(first_s, 4),
-            **progress.log_fields(),
         )
+        progress.log.end_served()
+        self._count('served', '')
+        metrics = self._desk.metrics
+        metrics.request_seconds.record(progress.elapsed_s)
+        if first_s is not None:
+            metrics.first_event_seconds.record(first_s)
+
+    def _note_left(self) -> None:
+        progress = self._progress
+        progress.note(
+            CALLER_LEFT, sends=progress.sends, events=progress.last_event
+        )
+        progress.log.end_failed()
+        self._count('left', '')
+
+    def _count(self, outcome: str, reason: str) -> None:
+        self._desk.metrics.requests.labels(
+            self._progress.service, outcome, reason
+        ).inc()
--- a/marigoldhoist/components/gateway/messages.py
+++ b/marigoldhoist/components/gateway/messages.py
@@ -91,8 +91,9 @@
     """Parses requests strictly; items appear in `items`."""
 
     def __init__(self) -> None:
-        self._collector = _Collector()
+        self._collector = _RequestCollector()
         self._parser = httptools.HttpRequestParser(self._collector)
+        self._collector.parser = self._parser
         self.items = self._collector.items
 
     @property
@@ -102,17 +103,24 @@
 
     def feed(self, received: bytes) -> None:
         """Parse bytes; HttpParserError where they are no request."""
-        known = len(self.items)
         self._collector.head_bytes += len(received)
         self._parser.feed_data(received)
-        for item in list(self.items)[known:]:
-            if isinstance(item, MessageHead):
-                item.method = self._parser.get_method().decode()
-                item.keeps_alive = self._parser.should_keep_alive()
         if not self._collector.is_in_head:
             self._collector.head_bytes = 0
 
 
+class _RequestCollector(_Collector):
+    """Adds what only the parser of requests knows when a head is complete."""
+
+    parser: httptools.HttpRequestParser
+
+    def on_headers_complete(self) -> None:
+        """End the head."""
+        self._head.method = self.parser.get_method().decode()
+        self._head.keeps_alive = self.parser.should_keep_alive()
+        super().on_headers_complete()
+
+
 class AnswerParser:
     """Parses answers strictly; items appear in `items`."""
 
--- /dev/null
+++ b/marigoldhoist/components/gateway/metrics.py
@@ -0,0 +1,31 @@
+"""Counters, gauges and latencies of the gateway."""
+
+from marigoldhoist.core.metrics import Metrics
+
+
+class GatewayMetrics:
+    """What the metrics address tells of callers and replicas."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self.requests = metrics.counter(
+            'requests',
+            'Requests that ended, by service, outcome and reason.',
+            ('service', 'outcome', 'reason'),
+        )
+        self.attempts = metrics.counter(
+            'attempts',
+            'Sends to replicas that gave no answer, by reason.',
+            ('service', 'reason'),
+        )
+        self.models_raised = metrics.counter(
+            'models_raised',
+            'Doubtful answers for which a larger model was asked.',
+            ('service',),
+        )
+        self.request_seconds = metrics.latency(
+            'request_seconds', 'Time from the head of a request to its end.'
+        )
+        self.first_event_seconds = metrics.latency(
+            'first_event_seconds',
+            'Time from the head of a request to the first event of its stream.',
+        )
--- a/marigoldhoist/components/gateway/progress.py
+++ b/marigoldhoist/components/gateway/progress.py
@@ -4,7 +4,9 @@
 from typing import Final
 
 from marigoldhoist.components.gateway.models import Call
+from marigoldhoist.components.gateway.request_log import RequestLog
 from marigoldhoist.core.clock import SYSTEM_CLOCK
+from marigoldhoist.core.events import LogEvent
 from marigoldhoist.core.verdict import Verdict
 
 # Prompts of this size take about twice as long to the head as short ones.
@@ -17,17 +19,22 @@
 class Progress:
     """What has happened to a call so far.
 
+    `asked` is the replica that was asked last, `tried` all that were asked,
+    and `unreached` those to which no connection could be opened.
     `last_event` is the last event of a stream that the caller has, and
     `verdict` whether any replica may have run the call.
     """
 
     call: Call
+    log: RequestLog
     last_event: int = 0
     service: str = ''
     route_name: str = ''
     model: str = ''
     route_timeout_s: float | None = None
     tried: set[str] = dataclasses.field(default_factory=set)
+    unreached: set[str] = dataclasses.field(default_factory=set)
+    asked: str = ''
     sends: int = 0
     verdict: Verdict = Verdict.NOT_RUN
     has_begun: bool = False
@@ -58,10 +65,12 @@
         """Return the kind of work that times are compared within."""
         return f'{self.route_name}/{self.model}'
 
-    def log_fields(self) -> dict[str, object]:
-        """Return what every log line on the call holds."""
-        return {
-            'request_id': self.call.request_id,
-            'route': self.route_name,
-            'elapsed_s': round(self.elapsed_s, 4),
-        }
+    def note(self, event: LogEvent, **fields: object) -> None:
+        """Log a decision on the call."""
+        self.log.note(
+            event,
+            request_id=self.call.request_id,
+            route=self.route_name,
+            elapsed_s=round(self.elapsed_s, 4),
+            **fields,
+        )
--- a/marigoldhoist/components/gateway/service.py
+++ b/marigoldhoist/components/gateway/service.py
@@ -1,10 +1,7 @@
 """The gateway service: listen, serve, tell the balancer, stop without cuts."""
 
 import asyncio
-import random
 
-from marigoldhoist.components.canary.const import COMPONENT as CANARY
-from marigoldhoist.components.canary.service import CanaryService
 from marigoldhoist.components.configuration.const import (
     COMPONENT as CONFIGURATION,
 )
@@ -12,15 +9,14 @@
 from marigoldhoist.components.directory.const import COMPONENT as DIRECTORY
 from marigoldhoist.components.directory.models import Replica
 from marigoldhoist.components.directory.service import DirectoryService
-from marigoldhoist.components.gateway.admission import Admission
+from marigoldhoist.components.gateway.belief_gauges import BeliefGauges
 from marigoldhoist.components.gateway.caller import CallerConnection
-from marigoldhoist.components.gateway.choosing import ReplicaPicker
 from marigoldhoist.components.gateway.const import (
     BALANCER_NOTICE_S,
     STOP_POLL_S,
     STOP_RESERVE_S,
 )
-from marigoldhoist.components.gateway.desk import Desk
+from marigoldhoist.components.gateway.desk import Desk, make_desk
 from marigoldhoist.components.gateway.events import (
     GATEWAY_LISTENING,
     READINESS_CHANGED,
@@ -34,8 +30,6 @@
 )
 from marigoldhoist.components.gateway.models import Dialect
 from marigoldhoist.components.gateway.pool import ReplicaPool
-from marigoldhoist.components.gateway.repeats import RepeatBudgets
-from marigoldhoist.components.gateway.sending import Sender
 from marigoldhoist.components.gateway.server import CallerServer
 from marigoldhoist.components.gateway.settings import GatewaySettings
 from marigoldhoist.components.gateway.stopping import StopClock
@@ -43,12 +37,10 @@
 from marigoldhoist.core.const import MS_PER_S
 from marigoldhoist.core.errors import KernelError, RequestFailure
 from marigoldhoist.core.events import emit
-from marigoldhoist.core.identity import DaemonSettings
 from marigoldhoist.core.kernel import BaseService, Kernel
-from marigoldhoist.core.promises import PromiseSettings
 
 HOUSEKEEPING_S = 0.25
-READY = 200
+OK = 200
 NOT_READY = 503
 
 
@@ -57,11 +49,9 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._settings = kernel.settings.section(GatewaySettings)
-        self._promises = kernel.settings.section(PromiseSettings)
-        self._domain = kernel.settings.section(DaemonSettings).failure_domain
+        self._kernel = kernel
         self._configuration = kernel.find(CONFIGURATION, ConfigurationService)
         self._directory = kernel.find(DIRECTORY, DirectoryService)
-        self._canary = kernel.find(CANARY, CanaryService)
         self._pool = ReplicaPool()
         self._desk: Desk | None = None
         self._server = CallerServer(self._configuration)
@@ -90,17 +80,12 @@
 
     def attach(self, dialect: Dialect) -> None:
         """Use that translation of messages."""
-        rng = random.Random()
-        self._desk = Desk(
-            Admission(self._configuration, self._promises, rng),
-            self._directory,
-            ReplicaPicker(self._domain, rng),
-            Sender(dialect, self._pool, self._directory),
-            self._canary,
-            RepeatBudgets(self._promises),
-            dialect,
-            self._stop_clock,
+        self._desk = make_desk(
+            self._kernel, dialect, self._pool, self._stop_clock
         )
+        BeliefGauges(
+            self._configuration, self._directory, self._server, self._desk.logs
+        ).register(self._kernel.metrics)
 
     async def listen(self) -> None:
         """Accept callers and the balancer's questions."""
@@ -108,6 +93,10 @@
             self._settings.readiness, self._serve_readiness
         )
         await self._server.listen(self._settings.callers, self._serve_caller)
+        if self._settings.metrics:
+            await self._server.listen(
+                self._settings.metrics, self._serve_metrics
+            )
         loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(self._keep_house()))
         emit(GATEWAY_LISTENING, callers=self._settings.callers)
@@ -171,9 +160,15 @@
                 replicas=len(self._directory.replica_by_host),
             )
             self._was_ready = is_ready
-        await connection.write(
-            answer_bytes(READY if is_ready else NOT_READY, ())
-        )
+        await connection.write(answer_bytes(OK if is_ready else NOT_READY, ()))
+        return head.keeps_alive
+
+    async def _serve_metrics(
+        self, connection: CallerConnection, head: MessageHead, _body: bytes
+    ) -> bool:
+        shown = self._kernel.metrics.exposition()
+        headers = [(b'Content-Type', b'text/plain; version=0.0.4')]
+        await connection.write(answer_bytes(OK, headers, shown))
         return head.keeps_alive
 
     async def _keep_house(self) -> None:
--- a/marigoldhoist/components/gateway/settings.py
+++ b/marigoldhoist/components/gateway/settings.py
@@ -17,6 +17,7 @@
     callers: HostAndPort = '127.0.0.1:8080'
     readiness: HostAndPort = '127.0.0.1:8081'
     stop_grace_ms: Milliseconds = 8000
+    metrics: HostAndPort | None = None
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/marigoldhoist/components/gateway/stream_delivery.py
+++ b/marigoldhoist/components/gateway/stream_delivery.py
@@ -19,7 +19,6 @@
     Doubt,
     larger_model,
 )
-from marigoldhoist.core.events import emit
 from marigoldhoist.core.verdict import Verdict
 
 
@@ -117,15 +116,15 @@
         ):
             return False
         self._attempts.note_answer(answer, is_failure=False)
-        emit(
+        progress.note(
             MODEL_RAISED,
             confidence=answer.signs.confidence,
             load=round(doubt.load, 3),
             expected_s=self._expected_s(larger),
             asked=progress.model,
             larger=larger,
-            **progress.log_fields(),
         )
+        self._desk.metrics.models_raised.labels(progress.service).inc()
         progress.model = larger
         progress.tried.clear()
         progress.verdict = Verdict.RAN
--- a/marigoldhoist/core/events.py
+++ b/marigoldhoist/core/events.py
@@ -8,11 +8,12 @@
 import logging
 import sys
 from collections.abc import MutableMapping
-from typing import Any
+from typing import Any, TextIO, cast
 
 import structlog
 
 from marigoldhoist.core.errors import KernelError
+from marigoldhoist.core.line_sink import LineSink
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,8 +44,10 @@
     getattr(logger, event.level)(event.name, number=event.number, **fields)
 
 
-def configure_logs(level: str, host: str) -> None:
-    """Send log lines to standard error as JSON."""
+def configure_logs(
+    level: str, host: str, sink: TextIO | LineSink = sys.stderr
+) -> None:
+    """Send log lines to a sink as JSON."""
     number = logging.getLevelNamesMapping()[level.upper()]
 
     def add_host(
@@ -61,6 +64,6 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(number),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(cast('TextIO', sink)),
         cache_logger_on_first_use=True,
     )
--- a/marigoldhoist/platform/daemon.py
+++ b/marigoldhoist/platform/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import signal
+import sys
 
 from marigoldhoist import __version__
 from marigoldhoist.components.gateway.const import COMPONENT as GATEWAY_NAME
@@ -12,6 +13,7 @@
 from marigoldhoist.core.events import configure_logs, emit
 from marigoldhoist.core.identity import DaemonSettings
 from marigoldhoist.core.kernel import Kernel, load_components
+from marigoldhoist.core.line_sink import LineSink
 from marigoldhoist.core.settings import load_settings
 from marigoldhoist.platform.attach import attach_platform
 from marigoldhoist.platform.events import (
@@ -30,7 +32,9 @@
         self._path = path
         self._settings = load_settings(path)
         daemon = self._settings.section(DaemonSettings)
-        configure_logs(daemon.log_level, daemon.host)
+        configure_logs(
+            daemon.log_level, daemon.host, LineSink(sys.stdout.fileno())
+        )
         self._kernel = Kernel(self._settings, GATEWAY)
         self._told_to_stop = asyncio.Event()
 
--- /dev/null
+++ b/tests/platform/world.py
@@ -0,0 +1,228 @@
+"""A gateway in this process, between stand-ins on loopback."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import AsyncIterator
+from typing import Any, Final
+
+from marigoldhoist.components.gateway.const import COMPONENT as GATEWAY_NAME
+from marigoldhoist.components.gateway.service import GatewayService
+from marigoldhoist.core.deployments import GATEWAY
+from marigoldhoist.core.kernel import Kernel, load_components
+from marigoldhoist.core.settings import Settings
+from marigoldhoist.platform.attach import attach_platform
+from tools.platform_standins.replica import StandInReplica
+from tools.platform_standins.store import (
+    OPERATOR,
+    REPLICAS,
+    StandInStore,
+)
+
+HOST: Final = '127.0.0.1'
+KEY: Final = 'k1'
+MODELS: Final = ('m0', 'm1', 'm2')
+PATIENCE_S: Final = 10.0
+request_numbers = itertools.count(1)
+
+
+def free_port() -> int:
+    """Return a port of the loopback address that is free now."""
+    import socket
+
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+def route(name: str, **changed: Any) -> dict[str, Any]:
+    """Return a route of the configuration; its prefix is its name."""
+    return {
+        'name': name,
+        'host': 'calls.example',
+        'path_prefix': f'/{name}/',
+        'kind': 'safe',
+        'timeout_ms': 3000,
+        'slo_ms': 1000,
+        'priority': 0,
+        'service': 'plain',
+        'max_attempts': 2,
+        **changed,
+    }
+
+
+def configuration(version: int, **changed: Any) -> dict[str, Any]:
+    """Return a configuration with a route of each kind."""
+    stream = {'service': 'model', 'kind': 'streaming', 'can_resume': True}
+    return {
+        'version': version,
+        'routes': [
+            route('safe'),
+            route('unsafe', kind='unsafe', max_attempts=1),
+            route('unsafe2', kind='unsafe', max_attempts=2),
+            route('stream', sizes=list(MODELS), max_attempts=3, **stream),
+        ],
+        'services': [{'name': 'plain'}, {'name': 'model'}],
+        'tenants': [{'name': 'w1', 'api_keys': [KEY], 'priority': 1}],
+        **changed,
+    }
+
+
+class Answered:
+    """A whole answer as a caller read it."""
+
+    def __init__(self, raw: bytes) -> None:
+        head, _, self.body = raw.partition(b'\r\n\r\n')
+        lines = head.decode('latin-1').split('\r\n')
+        self.status = int(lines[0].split(' ')[1]) if raw else 0
+        self.headers = {
+            name.lower(): text.strip()
+            for name, _, text in (line.partition(':') for line in lines[1:])
+        }
+
+    @property
+    def events(self) -> list[int]:
+        """Return the numbers of the events in order."""
+        lines = self.body.split(b'\n')
+        return [int(line[3:]) for line in lines if line.startswith(b'id:')]
+
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether a chunked answer came to its end."""
+        return self.body.endswith(b'0\r\n\r\n')
+
+
+def request_text(path: str, **headers: str) -> bytes:
+    """Return a request; underscores in header names become dashes."""
+    named = {
+        'Host': 'calls.example',
+        'Request-Id': f'r{next(request_numbers)}',
+        'Request-Deadline': '5000',
+        'X-Api-Key': KEY,
+        'Connection': 'close',
+    }
+    named.update(
+        {name.replace('_', '-'): text for name, text in headers.items()}
+    )
+    lines = ''.join(f'{name}: {text}\r\n' for name, text in named.items())
+    method = 'GET' if path.startswith('/safe/') else 'POST'
+    return f'{method} {path} HTTP/1.1\r\n{lines}\r\n'.encode('latin-1')
+
+
+class GatewayWorld:
+    """The gateway, its store and its replicas."""
+
+    def __init__(self) -> None:
+        self.store = StandInStore()
+        self.replica_by_name: dict[str, StandInReplica] = {}
+        self.address = f'{HOST}:{free_port()}'
+        self.readiness = f'{HOST}:{free_port()}'
+        self.metrics = f'{HOST}:{free_port()}'
+
+    @property
+    def gateway(self) -> GatewayService:
+        """Return the gateway's service."""
+        return self.kernel.find(GATEWAY_NAME, GatewayService)
+
+    async def start(self) -> None:
+        """Start everything and wait until the gateway is ready."""
+        await self.store.start(HOST)
+        await self.store.put(OPERATOR, 'config', configuration(1))
+        for name, service in (
+            ('p1', 'plain'),
+            ('p2', 'plain'),
+            ('e1', 'model'),
+            ('e2', 'model'),
+        ):
+            await self.add_replica(name, service)
+        load_components(GATEWAY)
+        settings = Settings(
+            {
+                'daemon': {
+                    'host': 'd1',
+                    'failure_domain': 'here',
+                    'address': HOST,
+                },
+                'gateway': {
+                    'callers': self.address,
+                    'readiness': self.readiness,
+                    'metrics': self.metrics,
+                    'stop_grace_ms': 4000,
+                },
+                'store': {'address': self.store.address},
+                'promises': {'repeat_ratio': 5},
+            }
+        )
+        self.kernel = Kernel(settings, GATEWAY)
+        self.kernel.start()
+        attach_platform(self.kernel)
+        await self.gateway.listen()
+        await self.wait_until_ready()
+
+    async def wait_until_ready(self) -> None:
+        """Wait until every replica is known."""
+        async with asyncio.timeout(PATIENCE_S):
+            while not self.gateway.is_ready or len(
+                self.gateway.desk.directory.replica_by_host
+            ) < len(self.replica_by_name):
+                await asyncio.sleep(0.01)
+
+    async def add_replica(
+        self, name: str, service: str, **changed: Any
+    ) -> StandInReplica:
+        """Start a replica and have it list itself."""
+        replica = StandInReplica(name)
+        await replica.start(HOST)
+        self.replica_by_name[name] = replica
+        entry = replica.entry(service, **changed)
+        await self.store.put(REPLICAS, name, entry)
+        return replica
+
+    async def call(self, path: str, **headers: str) -> Answered:
+        """Send one request and read its answer to the end."""
+        return await self.call_raw(request_text(path, **headers))
+
+    async def call_raw(self, raw: bytes) -> Answered:
+        """Send bytes and read until the gateway closes."""
+        host, _, port = self.address.partition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(raw)
+        received = b''
+        async with asyncio.timeout(PATIENCE_S):
+            with contextlib.suppress(ConnectionError):
+                while read := await reader.read(65_536):
+                    received += read
+        writer.close()
+        return Answered(received)
+
+    async def stream(self, **headers: str) -> Answered:
+        """Ask for a stream."""
+        return await self.call(
+            '/stream/x', Model='*', Token_Count='100,10', **headers
+        )
+
+    def runs(self, service_prefix: str = '') -> int:
+        """Return how many requests were run by replicas of that name."""
+        return sum(
+            len(replica.runs)
+            for name, replica in self.replica_by_name.items()
+            if name.startswith(service_prefix)
+        )
+
+    def stop(self) -> None:
+        """Stop everything."""
+        self.kernel.stop()
+        self.store.stop()
+        for replica in self.replica_by_name.values():
+            replica.stop()
+
+
+@contextlib.asynccontextmanager
+async def gateway_world() -> AsyncIterator[GatewayWorld]:
+    """Give a world with two plain and two model replicas."""
+    world = GatewayWorld()
+    await world.start()
+    try:
+        yield world
+    finally:
+        world.stop()
--- /dev/null
+++ b/tools/platform_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform's store and its replicas."""
--- /dev/null
+++ b/tools/platform_standins/replica.py
@@ -0,0 +1,181 @@
+"""A stand-in for the platform's replicas, with the faults they may have."""
+
+import asyncio
+import collections
+import contextlib
+import enum
+from typing import Final
+
+from tools.platform_standins.http import (
+    SeenRequest,
+    answer,
+    chunk,
+    read_request,
+)
+
+LAST_CHUNK: Final = b'0\r\n\r\n'
+SEAL: Final = 'seal'
+
+
+class ReplicaFault(enum.Enum):
+    """What a replica does to its next answer."""
+
+    NONE = 'none'
+    SHED = 'shed'
+    ERROR = 'error'
+    UNSIGNED = 'unsigned'
+    FOREIGN_FIRST = 'foreign_first'
+    EXTRA = 'extra'
+    LOST = 'lost'
+    TORN = 'torn'
+    OTHER = 'other'
+    LYING_BUSY = 'lying_busy'
+    SILENT = 'silent'
+
+
+class StandInReplica:
+    """Answers as a replica of one name does; faults are used up in order."""
+
+    def __init__(self, name: str, events: int = 4) -> None:
+        self.name = name
+        self.events = events
+        self.event_pause_s: float = 0
+        self.work_s: float = 0
+        self.confidence = 90
+        self.faults: collections.deque[ReplicaFault] = collections.deque()
+        self.runs: list[SeenRequest] = []
+        self.cancelled: list[str] = []
+        self.connections = 0
+        self.address = ''
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, host: str, port: int = 0) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+        bound = self._server.sockets[0].getsockname()
+        self.address = f'{bound[0]}:{bound[1]}'
+
+    def stop(self) -> None:
+        """Close the listener and every connection."""
+        if self._server is not None:
+            self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def entry(self, service: str, **changed: object) -> dict[str, object]:
+        """Return the entry that the replica stores of itself."""
+        return {
+            'service': service,
+            'address': self.address,
+            'zone': 'here',
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+            'cold_ms': 0,
+            'born': 1,
+            'sequence': 1,
+            **changed,
+        }
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        with contextlib.suppress(ConnectionError):
+            while (request := await read_request(reader)) is not None:
+                fault = self.faults.popleft() if self.faults else None
+                if not await self._answer(request, writer, fault):
+                    break
+                await writer.drain()
+        self._writers.discard(writer)
+        writer.transport.abort()
+
+    async def _answer(
+        self,
+        request: SeenRequest,
+        writer: asyncio.StreamWriter,
+        fault: ReplicaFault | None,
+    ) -> bool:
+        """Answer one request; False where the connection is to be reset."""
+        target = request.headers.get('target-instance', self.name)
+        if target != self.name or fault is ReplicaFault.OTHER:
+            writer.write(answer(421, {'Instance-Id': 'another'}))
+            return True
+        if fault is ReplicaFault.SHED:
+            writer.write(answer(503, {'Not-Executed': '1'}))
+            return True
+        self.runs.append(request)
+        await asyncio.sleep(self.work_s)
+        if fault is ReplicaFault.LOST:
+            return False
+        if fault is ReplicaFault.SILENT:
+            await asyncio.sleep(3600)
+        if 'model' in request.headers:
+            return await self._stream(request, writer, fault)
+        return self._plain(request, writer, fault)
+
+    def _plain(
+        self,
+        request: SeenRequest,
+        writer: asyncio.StreamWriter,
+        fault: ReplicaFault | None,
+    ) -> bool:
+        headers = self._headers(request)
+        whole = answer(200, headers, b'done by ' + self.name.encode())
+        if fault is ReplicaFault.ERROR:
+            whole = answer(500, headers, b'failed')
+        if fault is ReplicaFault.LYING_BUSY:
+            whole = answer(503, headers)
+        if fault is ReplicaFault.UNSIGNED:
+            headers.pop('Response-Seal')
+            whole = answer(200, headers, b'unsigned')
+        if fault is ReplicaFault.FOREIGN_FIRST:
+            foreign = answer(200, {**headers, 'Request-Id': 'f'}, b'crossed')
+            whole = foreign + whole
+        if fault is ReplicaFault.EXTRA:
+            whole += answer(200, headers, b'once more')
+        if fault is ReplicaFault.TORN:
+            writer.write(whole[:-3])
+            return False
+        writer.write(whole)
+        return True
+
+    async def _stream(
+        self,
+        request: SeenRequest,
+        writer: asyncio.StreamWriter,
+        fault: ReplicaFault | None,
+    ) -> bool:
+        headers = self._headers(request)
+        if fault is ReplicaFault.ERROR:
+            writer.write(answer(500, headers, b'failed'))
+            return True
+        lines = ''.join(f'{name}: {text}\r\n' for name, text in headers.items())
+        writer.write(
+            f'HTTP/1.1 200 OK\r\n{lines}Content-Type: text/event-stream\r\n'
+            'Transfer-Encoding: chunked\r\n\r\n'.encode()
+        )
+        start = int(request.headers.get('last-event-id', '0'))
+        for number in range(start + 1, self.events + 1):
+            await asyncio.sleep(self.event_pause_s)
+            event = f'id: {number}\ndata: event {number}\n\n'.encode()
+            if fault is ReplicaFault.TORN and number == self.events:
+                writer.write(chunk(event[:5]))
+                return False
+            if writer.is_closing():
+                self.cancelled.append(request.headers['request-id'])
+                return False
+            writer.write(chunk(event))
+        writer.write(LAST_CHUNK)
+        return True
+
+    def _headers(self, request: SeenRequest) -> dict[str, str]:
+        return {
+            'Request-Id': request.headers['request-id'],
+            'Response-Seal': f'{SEAL}-{self.name}',
+            'Server-Load': '1,0,8',
+            'Confidence': str(self.confidence),
+            'Keep-Alive': 'timeout=10',
+        }
