Let one daemon of each failure domain read the store and tell the others

Change: feeds ask sources in turn: the domain's reader, the store, other daemons; news carries its age as a duration. Members are gossiped from the seeds. gRPC with msgspec messages between daemons.

--- a/marigoldhoist/components/feeds/feed.py
+++ b/marigoldhoist/components/feeds/feed.py
@@ -18,7 +18,13 @@
     STORE_REGAINED,
     TOPIC_READ_ANEW,
 )
-from marigoldhoist.components.feeds.models import Batch, Store, Topic
+from marigoldhoist.components.feeds.mirror import TopicMirror
+from marigoldhoist.components.feeds.models import (
+    Batch,
+    KeyedRecord,
+    Source,
+    Topic,
+)
 from marigoldhoist.core.clock import SYSTEM_CLOCK, SystemClock
 from marigoldhoist.core.events import emit
 
@@ -31,19 +37,22 @@
 
     A read waits `wait_s` for a record; the next follows `pause_s` later at
     the earliest, so that records which come one by one are read together.
+    A source whose news is older than `longest_age_s` is not enough.
     """
 
     topic: Topic
     wait_s: float
     pause_s: float = 0
+    longest_age_s: float = 2.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FeedNews:
     """What one read told.
 
-    `sent_s` is the boot time at which it was sent; `is_whole` tells that the
-    records are the newest of all keys, so that keys not named are gone.
+    `sent_s` is the boot time before which every change is known; `is_whole`
+    tells that the records are the newest of all keys, so that keys not named
+    are gone.
     """
 
     batch: Batch
@@ -52,84 +61,112 @@
 
 
 class Feed:
-    """Reads a topic for ever and tells what each read found."""
+    """Reads a topic for ever and tells what each read found.
+
+    The sources are asked in the order given until one is fresh enough.
+    """
 
     def __init__(
         self,
         plan: FeedPlan,
-        store: Store,
+        sources: Callable[[], list[Source]],
         tell: Callable[[FeedNews], None],
         count: Callable[[str], None],
         clock: SystemClock = SYSTEM_CLOCK,
     ) -> None:
         self._plan = plan
-        self._store = store
+        self._sources = sources
         self._tell = tell
         self._count = count
         self._clock = clock
-        self._end: int | None = None
+        self._mirror = TopicMirror()
+        self._proved_s = float('-inf')
         self._lost_s: float | None = None
         self._regained_s = float('-inf')
         self._pause_s = FIRST_PAUSE_S
+        self._reason = ''
 
     @property
     def end(self) -> int | None:
         """Return the offset that follows what was read, none before."""
-        return self._end
+        return self._mirror.end
+
+    @property
+    def age_s(self) -> float:
+        """Return the seconds since what was read was known to be newest."""
+        return self._clock.boottime_s() - self._proved_s
 
     @property
     def is_lost(self) -> bool:
-        """Tell whether the last call failed."""
+        """Tell whether no source answered at the last read."""
         return self._lost_s is not None
 
     @property
     def sound_for_s(self) -> float:
-        """Return the seconds since the store was regained, 0 while lost."""
+        """Return the seconds since a source was regained, 0 while lost."""
         if self.is_lost:
             return 0
         return self._clock.boottime_s() - self._regained_s
 
+    def mirrored(self, offset: int) -> list[KeyedRecord]:
+        """Return the newest record of each key, from an offset on."""
+        return self._mirror.records_from(offset)
+
+    async def wait_beyond(self, offset: int, wait_s: float) -> None:
+        """Wait until there are records from an offset on, or for that time."""
+        await self._mirror.wait_beyond(offset, wait_s)
+
     async def follow(self) -> None:
         """Read until cancelled."""
         while True:
+            if await self.read_once():
+                self._note_sound()
+                await asyncio.sleep(self._plan.pause_s)
+            else:
+                self._note_lost()
+                await asyncio.sleep(self._pause_s)
+                self._pause_s = min(LONGEST_PAUSE_S, self._pause_s * GROWTH)
+
+    async def read_once(self) -> bool:
+        """Ask the sources in turn; tell whether one was fresh enough."""
+        for source in self._sources():
             try:
-                await self.read_once()
+                age_s = await self._read_from(source)
+            except HistoryLostError:
+                self._mirror.forget_end()
+                self._count('history_lost')
+                emit(TOPIC_READ_ANEW, topic=self._plan.topic.value)
+                return True
             except StoreUnavailableError as error:
                 self._count('failed')
-                self._note_lost(str(error))
-                await asyncio.sleep(self._pause_s)
-                self._pause_s = min(LONGEST_PAUSE_S, self._pause_s * GROWTH)
+                self._reason = f'{source.name}: {error}'
             else:
-                await asyncio.sleep(self._plan.pause_s)
-
-    async def read_once(self) -> None:
-        """Read once and tell what was found."""
+                self._count(source.kind)
+                if age_s <= self._plan.longest_age_s:
+                    return True
+                self._reason = f'{source.name}: news is {age_s:.1f} s old'
+        return False
+
+    async def _read_from(self, source: Source) -> float:
+        """Read once and tell what was found; return its age."""
         sent_s = self._clock.boottime_s()
-        is_whole = self._end is None
-        try:
-            batch = await self._read()
-        except HistoryLostError:
-            self._end = None
-            self._count('history_lost')
-            emit(TOPIC_READ_ANEW, topic=self._plan.topic.value)
-            return
-        self._note_sound()
-        self._count('read')
-        self._end = batch.end
-        self._tell(FeedNews(batch, sent_s, is_whole))
-
-    async def _read(self) -> Batch:
-        if self._end is None:
-            return await self._store.newest(self._plan.topic)
-        return await self._store.read(
-            self._plan.topic, self._end, self._plan.wait_s
-        )
-
-    def _note_lost(self, reason: str) -> None:
+        found = await source.read(self._plan.topic, self.end, self._plan.wait_s)
+        proved_s = sent_s - found.age_s
+        self._proved_s = max(self._proved_s, proved_s)
+        self._mirror.take(found.batch, is_whole=found.is_whole)
+        self._tell(FeedNews(found.batch, proved_s, found.is_whole))
+        return found.age_s
+
+    def _note_lost(self) -> None:
         if self._lost_s is not None:
             return
         self._lost_s = self._clock.boottime_s()
-        emit(STORE_LOST, topic=self._plan.topic.value, reason=reason)
+        emit(
+            STORE_LOST,
+            topic=self._plan.topic.value,
+            reason=self._reason,
+            age_s=round(self.age_s, 3),
+        )
 
     def _note_sound(self) -> None:
         self._pause_s = FIRST_PAUSE_S
--- a/marigoldhoist/components/feeds/models.py
+++ b/marigoldhoist/components/feeds/models.py
@@ -30,6 +30,31 @@
     end: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SourcedBatch:
+    """What a source gave, and the age of the read that confirmed it."""
+
+    batch: Batch
+    age_s: float
+    is_whole: bool
+
+
+class Source(Protocol):
+    """Whom a feed may ask; the kind is the store or a peer."""
+
+    name: str
+    kind: str
+
+    async def read(
+        self, topic: Topic, offset: int | None, wait_s: float
+    ) -> SourcedBatch:
+        """Return the records from an offset, all for none.
+
+        StoreUnavailableError where there is no answer, HistoryLostError
+        where records from the offset on are no longer kept.
+        """
+
+
 class Store(Protocol):
     """The platform's store, as the product uses it.
 
--- a/marigoldhoist/components/feeds/service.py
+++ b/marigoldhoist/components/feeds/service.py
@@ -5,10 +5,38 @@
 from functools import partial
 
 from marigoldhoist.components.feeds.feed import Feed, FeedNews, FeedPlan
-from marigoldhoist.components.feeds.models import Store, Topic
+from marigoldhoist.components.feeds.models import (
+    Source,
+    SourcedBatch,
+    Store,
+    Topic,
+)
 from marigoldhoist.core.errors import KernelError
 from marigoldhoist.core.kernel import BaseService, Kernel
 
+# Takes the store; returns whom a feed asks, in that order.
+OrderSources = Callable[[Source], list[Source]]
+
+
+class StoreSource:
+    """The store as the source of a feed."""
+
+    name = 'store'
+    kind = 'store'
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    async def read(
+        self, topic: Topic, offset: int | None, wait_s: float
+    ) -> SourcedBatch:
+        """Return what the store has from an offset on."""
+        if offset is None:
+            whole = await self._store.newest(topic)
+            return SourcedBatch(whole, 0, is_whole=True)
+        tail = await self._store.read(topic, offset, wait_s)
+        return SourcedBatch(tail, 0, is_whole=False)
+
 
 class FeedService(BaseService):
     """Feeds by topic; the platform's adapter attaches the store."""
@@ -20,6 +48,7 @@
             ('topic', 'outcome'),
         )
         self._store: Store | None = None
+        self._order: OrderSources = _store_alone
         self._task_by_topic: dict[Topic, asyncio.Task[None]] = {}
         self.feed_by_topic: dict[Topic, Feed] = {}
 
@@ -34,14 +63,21 @@
         """Use that store."""
         self._store = store
 
+    def order_sources(self, order: OrderSources) -> None:
+        """Have feeds ask others than the store as well."""
+        self._order = order
+
     def follow(self, plan: FeedPlan, tell: Callable[[FeedNews], None]) -> None:
         """Follow a topic on a task of its own."""
-        feed = Feed(plan, self.store, tell, partial(self._count, plan.topic))
+        feed = Feed(plan, self._sources, tell, partial(self._count, plan.topic))
         self.feed_by_topic[plan.topic] = feed
         self._task_by_topic[plan.topic] = (
             asyncio.get_running_loop().create_task(feed.follow())
         )
 
+    def _sources(self) -> list[Source]:
+        return self._order(StoreSource(self.store))
+
     def _count(self, topic: Topic, outcome: str) -> None:
         self._calls.labels(topic.value, outcome).inc()
 
@@ -57,3 +93,7 @@
         for topic in tuple(self._task_by_topic):
             self.unfollow(topic)
         self.store.close()
+
+
+def _store_alone(store: Source) -> list[Source]:
+    return [store]
--- /dev/null
+++ b/marigoldhoist/components/mirrors/codec.py
@@ -0,0 +1,20 @@
+"""Encode messages between daemons with msgspec."""
+
+from typing import Any
+
+import msgspec
+from grpclib.encoding.base import CodecBase
+
+
+class MsgpackCodec(CodecBase):
+    """Encodes structs as MessagePack."""
+
+    __content_subtype__ = 'msgpack'
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """Return the encoded message."""
+        return msgspec.msgpack.encode(message)
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        """Return the decoded message; msgspec.DecodeError for another."""
+        return msgspec.msgpack.decode(data, type=message_type)
--- /dev/null
+++ b/marigoldhoist/components/mirrors/models.py
@@ -0,0 +1,45 @@
+"""Messages between daemons of the gateway deployment."""
+
+import msgspec
+
+
+class DaemonCard(msgspec.Struct, frozen=True, array_like=True):
+    """A daemon, and how long ago it was heard from, in seconds."""
+
+    host: str
+    address: str
+    failure_domain: str
+    heard_age_s: float
+
+
+class ReadRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Ask for a topic's records from an offset, all for a negative one.
+
+    An empty topic asks for the known daemons only.
+    """
+
+    caller: DaemonCard
+    topic: str
+    offset: int
+    wait_s: float
+
+
+class MirroredRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The newest record of a key; without a value the key is gone."""
+
+    key: str
+    value: bytes | None
+    offset: int
+
+
+class ReadReply(msgspec.Struct, frozen=True, array_like=True):
+    """Records, the end, and the age of the read that confirmed them.
+
+    The age is a duration, so that clocks need not agree. A daemon that does
+    not follow the topic has no end.
+    """
+
+    records: list[MirroredRecord]
+    end: int | None
+    age_s: float
+    daemons: list[DaemonCard]
--- /dev/null
+++ b/marigoldhoist/components/mirrors/peers.py
@@ -0,0 +1,178 @@
+"""Ask other daemons, and answer them."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any, Final
+
+import grpclib.client
+import grpclib.const
+import grpclib.server
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from marigoldhoist.components.feeds.errors import StoreUnavailableError
+from marigoldhoist.components.feeds.feed import Feed
+from marigoldhoist.components.feeds.models import (
+    Batch,
+    KeyedRecord,
+    SourcedBatch,
+    Topic,
+)
+from marigoldhoist.components.mirrors.codec import MsgpackCodec
+from marigoldhoist.components.mirrors.const import (
+    CALL_TIMEOUT_S,
+    LONGEST_WAIT_S,
+)
+from marigoldhoist.components.mirrors.members import Member, Members
+from marigoldhoist.components.mirrors.models import (
+    MirroredRecord,
+    ReadReply,
+    ReadRequest,
+)
+
+READ_METHOD: Final = '/marigoldhoist.Mirror/Read'
+WHOLE: Final = -1
+CALL_ERRORS: Final = (
+    OSError,
+    TimeoutError,
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+)
+
+
+class PeerClient:
+    """Calls to other daemons over one connection each."""
+
+    def __init__(self, members: Members) -> None:
+        self._members = members
+        self._channel_by_address: dict[str, grpclib.client.Channel] = {}
+
+    async def read(
+        self, member: Member, topic: Topic | None, offset: int, wait_s: float
+    ) -> ReadReply:
+        """Return a daemon's answer; StoreUnavailableError for none."""
+        request = ReadRequest(
+            self._members.own, topic.value if topic else '', offset, wait_s
+        )
+        try:
+            reply = await self._call(member.address, request)
+        except CALL_ERRORS as error:
+            self._members.note_failed(member, repr(error))
+            self._drop(member.address)
+            raise StoreUnavailableError(f'{member.host}: {error!r}') from error
+        self._members.note_answered(member)
+        self._members.hear(reply.daemons)
+        return reply
+
+    def close(self) -> None:
+        """Close every connection."""
+        for address in tuple(self._channel_by_address):
+            self._drop(address)
+
+    async def _call(self, address: str, request: ReadRequest) -> ReadReply:
+        channel = self._channel_by_address.get(address)
+        if channel is None:
+            host, _, port = address.rpartition(':')
+            channel = grpclib.client.Channel(
+                host, int(port), codec=MsgpackCodec()
+            )
+            self._channel_by_address[address] = channel
+        method: grpclib.client.UnaryUnaryMethod[ReadRequest, ReadReply] = (
+            grpclib.client.UnaryUnaryMethod(
+                channel, READ_METHOD, ReadRequest, ReadReply
+            )
+        )
+        async with asyncio.timeout(request.wait_s + CALL_TIMEOUT_S):
+            return await method(request)
+
+    def _drop(self, address: str) -> None:
+        channel = self._channel_by_address.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+
+class PeerSource:
+    """A daemon as the source of a feed."""
+
+    kind = 'peer'
+
+    def __init__(self, client: PeerClient, member: Member) -> None:
+        self._client = client
+        self._member = member
+        self.name = member.host
+
+    async def read(
+        self, topic: Topic, offset: int | None, wait_s: float
+    ) -> SourcedBatch:
+        """Return what the daemon has from an offset on, with its age."""
+        start = WHOLE if offset is None else offset
+        reply = await self._client.read(
+            self._member, topic, start, min(wait_s, LONGEST_WAIT_S)
+        )
+        if reply.end is None:
+            raise StoreUnavailableError(
+                f'{self.name} does not follow {topic.value}'
+            )
+        records = tuple(
+            KeyedRecord(record.key, record.value, record.offset)
+            for record in reply.records
+        )
+        end = reply.end if offset is None else max(offset, reply.end)
+        return SourcedBatch(
+            Batch(records, end), reply.age_s, is_whole=offset is None
+        )
+
+
+class MirrorHandler:
+    """Answers other daemons from this daemon's feeds."""
+
+    def __init__(
+        self, members: Members, feed_by_topic: Mapping[Topic, Feed]
+    ) -> None:
+        self._members = members
+        self._feed_by_topic = feed_by_topic
+
+    def __mapping__(self) -> dict[str, grpclib.const.Handler]:
+        """Return the methods by path."""
+        return {
+            READ_METHOD: grpclib.const.Handler(
+                self._read,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                ReadRequest,
+                ReadReply,
+            )
+        }
+
+    async def _read(
+        self, stream: grpclib.server.Stream[ReadRequest, ReadReply]
+    ) -> None:
+        request = await stream.recv_message()
+        if request is None:
+            return
+        self._members.hear((request.caller,))
+        await stream.send_message(await self._reply(request))
+
+    async def _reply(self, request: ReadRequest) -> ReadReply:
+        feed = self._feed_for(request.topic)
+        if feed is None or feed.end is None:
+            return ReadReply([], None, 0, self._members.cards())
+        if request.offset != WHOLE:
+            await feed.wait_beyond(
+                request.offset, min(request.wait_s, LONGEST_WAIT_S)
+            )
+        records = [
+            MirroredRecord(record.key, record.value, record.offset)
+            for record in feed.mirrored(max(0, request.offset))
+        ]
+        return ReadReply(records, feed.end, feed.age_s, self._members.cards())
+
+    def _feed_for(self, name: str) -> Feed | None:
+        found: Any = next(
+            (
+                feed
+                for topic, feed in self._feed_by_topic.items()
+                if topic.value == name
+            ),
+            None,
+        )
+        return found if isinstance(found, Feed) else None
--- a/marigoldhoist/core/deployments.py
+++ b/marigoldhoist/core/deployments.py
@@ -16,6 +16,7 @@
         'feeds',
         'directory',
         'gateway',
+        'mirrors',
         'canary',
     )
 )
--- a/marigoldhoist/platform/attach.py
+++ b/marigoldhoist/platform/attach.py
@@ -32,7 +32,7 @@
 OPERATOR_PLAN: Final = FeedPlan(Topic.OPERATOR, wait_s=1.5)
 # Replicas write every second or so, and a leaving one must get no work for
 # long: reads follow at this pace.
-REPLICAS_PLAN: Final = FeedPlan(Topic.REPLICAS, wait_s=1.0, pause_s=0.6)
+REPLICAS_PLAN: Final = FeedPlan(Topic.REPLICAS, wait_s=1.0, pause_s=0.5)
 
 
 def attach_platform(kernel: Kernel) -> None:
--- a/marigoldhoist/platform/daemon.py
+++ b/marigoldhoist/platform/daemon.py
@@ -8,6 +8,8 @@
 from marigoldhoist import __version__
 from marigoldhoist.components.gateway.const import COMPONENT as GATEWAY_NAME
 from marigoldhoist.components.gateway.service import GatewayService
+from marigoldhoist.components.mirrors.const import COMPONENT as MIRRORS
+from marigoldhoist.components.mirrors.service import MirrorService
 from marigoldhoist.core.deployments import GATEWAY
 from marigoldhoist.core.errors import SettingsError
 from marigoldhoist.core.events import configure_logs, emit
@@ -50,6 +52,7 @@
         attach_platform(kernel)
         gateway = kernel.find(GATEWAY_NAME, GatewayService)
         await gateway.listen()
+        await kernel.find(MIRRORS, MirrorService).listen()
         await self._told_to_stop.wait()
         await gateway.stop_gracefully()
         kernel.stop()
