--- a/marigoldhoist/platform/attach.py
+++ b/marigoldhoist/platform/attach.py
@@ -29,7 +29,7 @@
 
 # A read of the operator's topic is answered at once where there is news; its
 # wait bounds how old the proof of a key gets.
-OPERATOR_PLAN: Final = FeedPlan(Topic.OPERATOR, wait_s=1.5)
+OPERATOR_PLAN: Final = FeedPlan(Topic.OPERATOR, wait_s=0.8)
 # Replicas write every second or so, and a leaving one must get no work for
 # long: reads follow at this pace.
 REPLICAS_PLAN: Final = FeedPlan(Topic.REPLICAS, wait_s=1.0, pause_s=0.5)
