--- a/marigoldhoist/platform/attach.py
+++ b/marigoldhoist/platform/attach.py
@@ -16,6 +16,7 @@
 from marigoldhoist.components.feeds.service import FeedService
 from marigoldhoist.components.gateway.const import COMPONENT as GATEWAY
 from marigoldhoist.components.gateway.service import GatewayService
+from marigoldhoist.core.errors import SettingsError
 from marigoldhoist.core.kernel import Kernel
 from marigoldhoist.platform.dialect import PlatformDialect
 from marigoldhoist.platform.records import status_record
@@ -42,6 +43,8 @@
     directory = kernel.find(DIRECTORY, DirectoryService)
     configuration = kernel.find(CONFIGURATION, ConfigurationService)
     store = kernel.settings.section(StoreSettings)
+    if store.address is None:
+        raise SettingsError('store.address is needed')
     feeds.attach(PlatformStore(store.address))
     canary.attach(StatusTopic(canary).tell, status_record)
     kernel.find(GATEWAY, GatewayService).attach(PlatformDialect())
--- /dev/null
+++ b/tests/core/test_line_sink.py
@@ -0,0 +1,85 @@
+"""Log lines are never waited for, and failed requests stay whole."""
+
+import os
+
+import structlog
+
+from marigoldhoist.components.gateway.request_log import (
+    RequestLog,
+    RequestLogs,
+)
+from marigoldhoist.core.kernel import TASK_FAILED
+from marigoldhoist.core.line_sink import (
+    LONGEST_LINE,
+    LineBudget,
+    LineSink,
+)
+
+LINE = f'{"x" * 200}\n'
+
+
+class TestReaderThatStops:
+    """A pipe that nobody reads."""
+
+    def test_lines_are_dropped_and_counted(self) -> None:
+        read_end, write_end = os.pipe()
+        sink = LineSink(write_end)
+        for _ in range(2000):
+            sink.write(LINE)
+        assert sink.dropped > 1000
+        received = os.read(read_end, 1 << 20)
+        assert set(received.split(b'\n')) == {LINE.rstrip().encode(), b''}
+        os.close(read_end)
+        os.close(write_end)
+
+    def test_reader_that_is_gone_ends_nothing(self) -> None:
+        read_end, write_end = os.pipe()
+        os.close(read_end)
+        sink = LineSink(write_end)
+        sink.write('line\n')
+        assert sink.dropped == 1
+        os.close(write_end)
+
+    def test_long_line_is_cut_to_what_is_written_whole(self) -> None:
+        read_end, write_end = os.pipe()
+        LineSink(write_end).write(f'{"y" * 10_000}\n')
+        received = os.read(read_end, 1 << 20)
+        assert len(received) == LONGEST_LINE
+        assert received.endswith(b'\n')
+        os.close(read_end)
+        os.close(write_end)
+
+
+class TestBudget:
+    """The rate of lines."""
+
+    def test_burst_then_rate(self) -> None:
+        budget = LineBudget(lines_per_s=10, burst=5)
+        assert sum(budget.try_take(1) for _ in range(20)) == 5
+        assert sum(budget.try_take(1.5) for _ in range(20)) == 5
+
+
+class TestRequestLog:
+    """Lines of requests while too many are written."""
+
+    def test_failed_request_is_written_whole(self) -> None:
+        written = self._written(is_failed=True)
+        assert [line['step'] for line in written] == [1, 2, 3]
+        assert all(line['is_held_back'] for line in written)
+
+    def test_served_request_is_dropped_and_counted(self) -> None:
+        assert not self._written(is_failed=False)
+        assert self._logs.dropped == 3
+
+    def _written(self, *, is_failed: bool) -> list[dict[str, object]]:
+        self._logs = RequestLogs()
+        self._logs.budget = LineBudget(lines_per_s=0, burst=0)
+        log = RequestLog(self._logs)
+        with structlog.testing.capture_logs() as captured:
+            for step in range(1, 4):
+                log.note(TASK_FAILED, step=step)
+            if is_failed:
+                log.end_failed()
+            else:
+                log.end_served()
+        return [dict(line) for line in captured]
--- a/tools/reference/settings.py
+++ b/tools/reference/settings.py
@@ -1,10 +1,12 @@
 """The reference of settings."""
 
+import importlib
 import inspect
 from typing import Any
 
 import msgspec
 
+from marigoldhoist.core.deployments import GATEWAY, TABLE
 from marigoldhoist.core.kernel import load_components
 from marigoldhoist.core.settings import sections_by_name
 
@@ -18,7 +20,9 @@
 
 def settings_page() -> str:
     """Return docs/operators/settings.md as the code has it."""
-    load_components()
+    load_components(TABLE)
+    load_components(GATEWAY)
+    importlib.import_module('marigoldhoist.platform.settings')
     sections = (
         _section(name, section)
         for name, section in sorted(sections_by_name.items())
