Go on serving callers that came while the configuration was fresh

Cause: a stream cut with its failure domain was not resumed at the domain's own replicas, as the key's age was judged anew at each send; script/explain showed it for three of ten failed requests. Change: the age that counts is that at the request's arrival; script/explain gathers one request's lines and the beliefs of its daemons.

--- a/marigoldhoist/components/configuration/service.py
+++ b/marigoldhoist/components/configuration/service.py
@@ -40,6 +40,10 @@
         """Return the seconds since the configuration was known to be newest."""
         return self._clock.boottime_s() - self._confirmed_s
 
+    def age_at_s(self, moment_s: float) -> float:
+        """Return how old the confirmation was at a boot time."""
+        return moment_s - self._confirmed_s
+
     def adopt(self, configuration: Configuration) -> None:
         """Put a version in force if it is newer."""
         known = self.current
--- a/marigoldhoist/components/gateway/admission.py
+++ b/marigoldhoist/components/gateway/admission.py
@@ -89,7 +89,9 @@
     def _with_key(
         self, call: Call, route: Route, current: Configuration
     ) -> Admitted | RequestFailure:
-        age_s = self._configuration.age_s
+        # What counts is the age at the request's arrival: a key withdrawn
+        # later was good when the caller sent it.
+        age_s = self._configuration.age_at_s(call.arrived_s)
         if age_s >= self._longest_key_age_s:
             return self.refusal(
                 ErrorCode.STALE_TABLE,
--- a/tests/components/gateway/test_admission.py
+++ b/tests/components/gateway/test_admission.py
@@ -48,9 +48,11 @@
     )
 
 
-def call(path: str, key: str = 'k', request_id: str = 'r') -> Call:
+def call(
+    path: str, key: str = 'k', request_id: str = 'r', arrived_s: float = 100
+) -> Call:
     """Return a call of a caller with a key."""
-    return Call(request_id, 'GET', path.encode(), 'h', path, [], 0, key)
+    return Call(request_id, 'GET', path.encode(), 'h', path, [], arrived_s, key)
 
 
 class Deciding:
@@ -111,6 +113,15 @@
         deciding.adopt(age_s=WITHDRAWAL_S)
         assert deciding.refused('/none/x').http_status == 503
 
+    def test_call_that_came_in_time_may_be_sent_again_later(self) -> None:
+        deciding = Deciding()
+        deciding.adopt()
+        deciding.clock.now_s += 10 * WITHDRAWAL_S
+        early = call('/shut/x', arrived_s=100 + WITHDRAWAL_S - 1)
+        late = call('/shut/x', arrived_s=100 + WITHDRAWAL_S + 1)
+        assert isinstance(deciding.admission.admit(early), Admitted)
+        assert isinstance(deciding.admission.admit(late), RequestFailure)
+
     def test_suspension_ages_the_configuration(self) -> None:
         deciding = Deciding()
         deciding.adopt()
--- /dev/null
+++ b/tools/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Gather what the logs of all daemons tell of one request."""
--- /dev/null
+++ b/tools/explain/__main__.py
@@ -0,0 +1,37 @@
+"""Print the story of one request from log files."""
+
+import pathlib
+import sys
+from collections.abc import Iterator
+from typing import Final
+
+from tools.explain.lines import read_lines, show, story_of
+
+USAGE: Final = 'usage: script/explain ID LOGS...'
+EXIT_USAGE: Final = 2
+EXIT_UNKNOWN: Final = 1
+
+
+def main(arguments: list[str]) -> int:
+    """Print the story; return the exit code."""
+    if len(arguments) < 2:
+        sys.stderr.write(f'{USAGE}\n')
+        return EXIT_USAGE
+    request_id, *paths = arguments
+    story = story_of(request_id, read_lines(_texts(paths)))
+    if not story:
+        sys.stderr.write(f'no line of request {request_id!r}\n')
+        return EXIT_UNKNOWN
+    start_s = next(line.time_s for line in story if line.request_id)
+    for line in story:
+        print(show(line, start_s))
+    return 0
+
+
+def _texts(paths: list[str]) -> Iterator[str]:
+    for path in paths:
+        with pathlib.Path(path).open(encoding='utf-8', errors='replace') as log:
+            yield from log
+
+
+sys.exit(main(sys.argv[1:]))
