--- a/tools/explain/lines.py
+++ b/tools/explain/lines.py
@@ -6,6 +6,13 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, Final
 
+# Daemons that come and go decide nothing of a request by themselves.
+PASSED_OVER: Final = frozenset(
+    (
+        'gateway_peer_found',
+        'gateway_peer_forgotten',
+    )
+)
 # Fields that name what a change of belief is about.
 SUBJECTS: Final = ('topic', 'service', 'replica', 'peer')
 # The fields that every line has, which are shown apart from the others.
@@ -63,7 +70,9 @@
         if line.time_s > last_s:
             break
         is_about = line.fields.get('replica') in {None, *replicas}
-        if not line.request_id and line.host in hosts and is_about:
+        if line.event in PASSED_OVER or line.request_id:
+            continue
+        if line.host in hosts and is_about:
             newest[_subject(line)] = line
     return sorted([*own, *newest.values()], key=_time)
 
