Soak real daemons under seeded faults and check the promises from outside

Processes, a loopback proxy, signals, a store and replicas that misbehave; checks of once-only, truthful refusals, whole answers, keys in time, leaving replicas and planned stops. Not covered: clocks that jump, as processes share this machine's clock.

--- a/tools/explain/lines.py
+++ b/tools/explain/lines.py
@@ -66,13 +66,15 @@
     }
     last_s = max((line.time_s for line in own), default=0)
     newest: dict[tuple[str, ...], LogLine] = {}
-    for line in sorted(known, key=_time):
-        if line.time_s > last_s:
-            break
-        is_about = line.fields.get('replica') in {None, *replicas}
-        if line.event in PASSED_OVER or line.request_id:
-            continue
-        if line.host in hosts and is_about:
+    beliefs = (
+        line
+        for line in known
+        if line.host in hosts
+        and line.time_s <= last_s
+        and line.fields.get('replica') in {None, *replicas}
+    )
+    for line in sorted(beliefs, key=_time):
+        if not line.request_id and line.event not in PASSED_OVER:
             newest[_subject(line)] = line
     return sorted([*own, *newest.values()], key=_time)
 
--- a/tools/platform_standins/replica.py
+++ b/tools/platform_standins/replica.py
@@ -33,6 +33,18 @@
     SILENT = 'silent'
 
 
+# Faults after which an answer may not come to its end.
+BREAKING: Final = frozenset(
+    (
+        ReplicaFault.LOST,
+        ReplicaFault.TORN,
+        ReplicaFault.SILENT,
+        ReplicaFault.UNSIGNED,
+        ReplicaFault.ERROR,
+    )
+)
+
+
 class StandInReplica:
     """Answers as a replica of one name does; faults are used up in order."""
 
@@ -45,6 +57,7 @@
         self.faults: collections.deque[ReplicaFault] = collections.deque()
         self.runs: list[SeenRequest] = []
         self.cancelled: list[str] = []
+        self.broken_off: list[str] = []
         self.connections = 0
         self.address = ''
         self._server: asyncio.Server | None = None
@@ -83,7 +96,7 @@
     ) -> None:
         self.connections += 1
         self._writers.add(writer)
-        with contextlib.suppress(ConnectionError):
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             while (request := await read_request(reader)) is not None:
                 fault = self.faults.popleft() if self.faults else None
                 if not await self._answer(request, writer, fault):
@@ -107,6 +120,8 @@
             writer.write(answer(503, {'Not-Executed': '1'}))
             return True
         self.runs.append(request)
+        if fault in BREAKING:
+            self.broken_off.append(request.headers['request-id'])
         await asyncio.sleep(self.work_s)
         if fault is ReplicaFault.LOST:
             return False
--- a/tools/platform_standins/store.py
+++ b/tools/platform_standins/store.py
@@ -107,7 +107,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
-        with contextlib.suppress(ConnectionError):
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             while (request := await read_request(reader)) is not None:
                 self.calls += 1
                 if not await self._answer(request, writer):
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak: real daemons, faults from outside, promises checked."""
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,54 @@
+"""Run seeds of the fault soak and print what broke a promise."""
+
+import argparse
+import asyncio
+import pathlib
+import random
+import sys
+import tempfile
+
+from tools.soak.world import Outcome, SoakWorld
+
+NEW_SEEDS_BELOW = 1_000_000
+
+
+def main() -> int:
+    """Run the seeds; return 1 where one broke a promise."""
+    arguments = _arguments()
+    folder = pathlib.Path(arguments.logs or tempfile.mkdtemp())
+    first = arguments.first_seed
+    if first is None:
+        first = random.SystemRandom().randrange(NEW_SEEDS_BELOW)
+    outcomes = [
+        _run(seed, folder / f'seed-{seed}', arguments.seconds)
+        for seed in range(first, first + arguments.seeds)
+    ]
+    failed = [outcome for outcome in outcomes if outcome.found]
+    print(f'{len(outcomes) - len(failed)} passed, {len(failed)} failed')
+    return 1 if failed else 0
+
+
+def _run(seed: int, folder: pathlib.Path, length_s: float) -> Outcome:
+    folder.mkdir(parents=True, exist_ok=True)
+    outcome = asyncio.run(SoakWorld(seed, folder).run(length_s))
+    print(
+        f'seed {seed}: {outcome.calls} calls, {outcome.served} whole, '
+        f'{len(outcome.faults)} faults, {len(outcome.found)} broken; '
+        f'logs in {folder}',
+        flush=True,
+    )
+    for line in outcome.found:
+        print(f'  {line}')
+    return outcome
+
+
+def _arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog='script/soak faults')
+    parser.add_argument('--seeds', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=20)
+    parser.add_argument('--first-seed', type=int)
+    parser.add_argument('--logs')
+    return parser.parse_args()
+
+
+sys.exit(main())
