Do not shun a replica for a lost answer

Change: a lost answer counts as a failure that fades; only a failed connect makes a replica suspect. A test fails without the change.

--- a/marigoldhoist/components/directory/const.py
+++ b/marigoldhoist/components/directory/const.py
@@ -10,7 +10,7 @@
 
 # Halves what a replica's failures count for.
 FAILURE_HALF_LIFE_S: Final = 3.0
-# A replica that refused or dropped a connection gets no work for this long,
+# A replica that cannot be connected to gets no work for this long,
 # while others have room.
 SUSPECT_S: Final = 1.0
 # Each time that it does so again it is avoided for longer.
--- a/marigoldhoist/components/directory/events.py
+++ b/marigoldhoist/components/directory/events.py
@@ -21,7 +21,7 @@
     3505,
     'replica_suspected',
     'warning',
-    'A replica refused or dropped a connection and is avoided for a while.',
+    'A replica cannot be connected to and is avoided for a while.',
 )
 REPLICA_REPLACED = declare_event(
     3506,
--- a/marigoldhoist/components/gateway/sending.py
+++ b/marigoldhoist/components/gateway/sending.py
@@ -145,7 +145,7 @@
                 await connection.write(self._dialect.request_bytes(call, order))
                 head, signs = await self._own_head(connection, call.request_id)
         except (ConnectionEndedError, MalformedMessageError) as error:
-            self._directory.suspect(replica, str(error))
+            replica.note_failure(SYSTEM_CLOCK.boottime_s())
             raise AttemptError(str(error), Verdict.MAY_HAVE_RUN) from error
         self._note(replica, signs, connection)
         answer = RunningAnswer(replica, connection, head, signs)
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -105,6 +105,20 @@
         assert answered.headers['response-seal'].startswith('seal')
 
 
+class TestLostAnswers:
+    """Replicas that run a request and lose its answer now and then."""
+
+    def test_replica_goes_on_getting_work(self) -> None:
+        async def scenario() -> set[bool]:
+            async with gateway_world() as world:
+                faulty(world, 'p', ReplicaFault.LOST)
+                await world.call('/safe/x')
+                replicas = world.gateway.desk.directory.usable('plain')
+                return {replica.suspected_until_s > 0 for replica in replicas}
+
+        assert asyncio.run(scenario()) == {False}
+
+
 class TestCrossedAnswers:
     """Answers that belong to another request."""
 
