--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -14,6 +14,9 @@
     from tools.soak.proxy import Proxy
     from tools.soak.world import SoakWorld
 
+# Of the withdrawals of a key, those that daemons cannot read of at once.
+CUT_SHARE = 0.8
+
 Fault = Callable[['SoakWorld', random.Random], Awaitable[None]]
 
 fault_by_name: dict[str, Fault] = {}
@@ -128,7 +131,7 @@
 async def key_withdrawn(world: 'SoakWorld', rng: random.Random) -> None:
     """Give callers a key, then take it away while they use it.
 
-    Every other time no daemon reaches the store when that happens.
+    Mostly no daemon reaches the store when that happens.
     """
     key = f'gone-{world.version}'
     await world.put_configuration([key])
@@ -137,7 +140,7 @@
         caller.keys.append(key)
     await asyncio.sleep(1)
     with world.store_trouble():
-        world.store_proxy.link.is_backward_cut = rng.choice((True, False))
+        world.store_proxy.link.is_backward_cut = rng.random() < CUT_SHARE
         await world.put_configuration([])
         now_s = asyncio.get_running_loop().time()
         world.evidence.withdrawn_s_by_key[key] = now_s
@@ -151,7 +154,8 @@
 @fault
 async def replica_leaves(world: 'SoakWorld', rng: random.Random) -> None:
     """Have a replica drain and leave; another comes in its place."""
-    name = rng.choice(list(world.replicas))
+    staying = set(world.replicas) - set(world.evidence.left_s_by_replica)
+    name = rng.choice(sorted(staying))
     service = 'plain' if name.startswith('p') else 'model'
     await world.add_replica(f'{name}x', service)
     entry = world.entry(name, service)
