--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -6,28 +6,45 @@
 import random
 import sys
 import tempfile
+from collections.abc import Iterator
 
 from tools.soak.world import Outcome, SoakWorld
 
 NEW_SEEDS_BELOW = 1_000_000
+KEPT_SEEDS = pathlib.Path(__file__).parent / 'kept_seeds.txt'
 
 
 def main() -> int:
     """Run the seeds; return 1 where one broke a promise."""
     arguments = _arguments()
+    if arguments.kept:
+        return _report(list(_run_kept(pathlib.Path(tempfile.mkdtemp()))))
     folder = pathlib.Path(arguments.logs or tempfile.mkdtemp())
     first = arguments.first_seed
     if first is None:
         first = random.SystemRandom().randrange(NEW_SEEDS_BELOW)
-    outcomes = [
-        _run(seed, folder / f'seed-{seed}', arguments.seconds)
-        for seed in range(first, first + arguments.seeds)
-    ]
+    return _report(
+        [
+            _run(seed, folder / f'seed-{seed}', arguments.seconds)
+            for seed in range(first, first + arguments.seeds)
+        ]
+    )
+
+
+def _report(outcomes: list[Outcome]) -> int:
     failed = [outcome for outcome in outcomes if outcome.found]
     print(f'{len(outcomes) - len(failed)} passed, {len(failed)} failed')
     return 1 if failed else 0
 
 
+def _run_kept(folder: pathlib.Path) -> Iterator[Outcome]:
+    """Run the seeds that once failed."""
+    for line in KEPT_SEEDS.read_text(encoding='utf-8').splitlines():
+        if not line.startswith('#'):
+            seed, seconds, _ = line.split(' ', 2)
+            yield _run(int(seed), folder / f'seed-{seed}', float(seconds))
+
+
 def _run(seed: int, folder: pathlib.Path, length_s: float) -> Outcome:
     folder.mkdir(parents=True, exist_ok=True)
     outcome = asyncio.run(SoakWorld(seed, folder).run(length_s))
@@ -48,6 +65,7 @@
     parser.add_argument('--seconds', type=float, default=20)
     parser.add_argument('--first-seed', type=int)
     parser.add_argument('--logs')
+    parser.add_argument('--kept', action='store_true')
     return parser.parse_args()
 
 
