--- a/marigoldhoist/components/feeds/feed.py
+++ b/marigoldhoist/components/feeds/feed.py
@@ -7,6 +7,7 @@
 
 from marigoldhoist.components.feeds.const import (
     FIRST_PAUSE_S,
+    LONGEST_AGE_S,
     LONGEST_PAUSE_S,
 )
 from marigoldhoist.components.feeds.errors import (
@@ -43,7 +44,7 @@
     topic: Topic
     wait_s: float
     pause_s: float = 0
-    longest_age_s: float = 2.4
+    longest_age_s: float = LONGEST_AGE_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/marigoldhoist/components/mirrors/const.py
+++ b/marigoldhoist/components/mirrors/const.py
@@ -13,10 +13,6 @@
 # that stands still must be noticed well within the time for a change.
 LONGEST_WAIT_S: Final = 0.5
 CALL_TIMEOUT_S: Final = 0.35
-# What a peer gives is taken as news only up to this age; older, the next
-# source is asked as well.
-LONGEST_AGE_S: Final = 2.4
-
 # A peer that failed is not asked again for this long.
 AVOID_S: Final = 2.0
 # A daemon that nobody heard from for this long is forgotten.
--- a/marigoldhoist/components/mirrors/peers.py
+++ b/marigoldhoist/components/mirrors/peers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Mapping
-from typing import Any, Final
+from typing import Final
 
 import grpclib.client
 import grpclib.const
@@ -167,12 +167,5 @@
         return ReadReply(records, feed.end, feed.age_s, self._members.cards())
 
     def _feed_for(self, name: str) -> Feed | None:
-        found: Any = next(
-            (
-                feed
-                for topic, feed in self._feed_by_topic.items()
-                if topic.value == name
-            ),
-            None,
-        )
-        return found if isinstance(found, Feed) else None
+        topic = next((one for one in Topic if one.value == name), None)
+        return self._feed_by_topic.get(topic) if topic else None
--- a/marigoldhoist/platform/const.py
+++ b/marigoldhoist/platform/const.py
@@ -80,9 +80,6 @@
 
 MISDIRECTED: Final = 421
 
-# The placeholder for any of a route's models.
-ANY_MODEL: Final = '*'
-
 # Calls to the store.
 READ_NEWEST: Final = '/marigoldhoist/log-newest'
 READ_LOG: Final = '/marigoldhoist/log-read'
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -8,6 +8,8 @@
 
 from marigoldhoist.components.gateway.const import COMPONENT as GATEWAY_NAME
 from marigoldhoist.components.gateway.service import GatewayService
+from marigoldhoist.components.mirrors.const import COMPONENT as MIRRORS
+from marigoldhoist.components.mirrors.service import MirrorService
 from marigoldhoist.core.deployments import GATEWAY
 from marigoldhoist.core.kernel import Kernel, load_components
 from marigoldhoist.core.settings import Settings
@@ -60,6 +62,20 @@
     }
 
 
+def daemon_section(name: str) -> dict[str, str]:
+    """Return who a daemon is."""
+    return {'host': name, 'failure_domain': 'here', 'address': HOST}
+
+
+def started_kernel(settings: dict[str, Any]) -> Kernel:
+    """Return a kernel of the gateway deployment, attached and started."""
+    load_components(GATEWAY)
+    kernel = Kernel(Settings(settings), GATEWAY)
+    kernel.start()
+    attach_platform(kernel)
+    return kernel
+
+
 class Answered:
     """A whole answer as a caller read it."""
 
@@ -111,6 +127,7 @@
         self.address = f'{own}:8080'
         self.readiness = f'{own}:8081'
         self.metrics = f'{own}:8082'
+        self.peers = f'{own}:8083'
 
     @property
     def gateway(self) -> GatewayService:
@@ -128,28 +145,22 @@
             ('e2', 'model'),
         ):
             await self.add_replica(name, service)
-        load_components(GATEWAY)
-        settings = Settings(
+        self.kernel = started_kernel(
             {
-                'daemon': {
-                    'host': 'd1',
-                    'failure_domain': 'here',
-                    'address': HOST,
-                },
+                'daemon': daemon_section('d1'),
                 'gateway': {
                     'callers': self.address,
                     'readiness': self.readiness,
                     'metrics': self.metrics,
                     'stop_grace_ms': 4000,
                 },
+                'mirrors': {'address': self.peers},
                 'store': {'address': self.store.address},
                 'promises': {'repeat_ratio': 5},
             }
         )
-        self.kernel = Kernel(settings, GATEWAY)
-        self.kernel.start()
-        attach_platform(self.kernel)
         await self.gateway.listen()
+        await self.kernel.find(MIRRORS, MirrorService).listen()
         await self.wait_until_ready()
 
     async def wait_until_ready(self) -> None:
--- a/tools/platform_standins/http.py
+++ b/tools/platform_standins/http.py
@@ -1,6 +1,7 @@
 """Read requests and write answers on asyncio streams, without the product."""
 
 import asyncio
+import contextlib
 import dataclasses
 from collections.abc import Mapping
 from typing import Final
@@ -40,6 +41,47 @@
     )
 
 
+class StandInServer:
+    """Listens on loopback; what it serves is its subclass's matter."""
+
+    def __init__(self) -> None:
+        self.address = ''
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, host: str, port: int = 0) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._accept, host, port)
+        bound = self._server.sockets[0].getsockname()
+        self.address = f'{bound[0]}:{bound[1]}'
+
+    def reset(self) -> None:
+        """Reset every connection."""
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def stop(self) -> None:
+        """Stop listening and reset every connection."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection until it ends."""
+        raise NotImplementedError
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            await self.serve(reader, writer)
+        self._writers.discard(writer)
+        writer.transport.abort()
+
+
 def answer(
     status: int, headers: Mapping[str, str] | None = None, body: bytes = b''
 ) -> bytes:
--- a/tools/platform_standins/replica.py
+++ b/tools/platform_standins/replica.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import collections
-import contextlib
 import enum
 from typing import Final
 
 from tools.platform_standins.http import (
     SeenRequest,
+    StandInServer,
     answer,
     chunk,
     read_request,
@@ -45,10 +45,11 @@
 )
 
 
-class StandInReplica:
+class StandInReplica(StandInServer):
     """Answers as a replica of one name does; faults are used up in order."""
 
     def __init__(self, name: str, events: int = 4) -> None:
+        super().__init__()
         self.name = name
         self.events = events
         self.event_pause_s: float = 0
@@ -59,22 +60,6 @@
         self.cancelled: list[str] = []
         self.broken_off: list[str] = []
         self.connections = 0
-        self.address = ''
-        self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
-
-    async def start(self, host: str, port: int = 0) -> None:
-        """Listen."""
-        self._server = await asyncio.start_server(self._serve, host, port)
-        bound = self._server.sockets[0].getsockname()
-        self.address = f'{bound[0]}:{bound[1]}'
-
-    def stop(self) -> None:
-        """Close the listener and every connection."""
-        if self._server is not None:
-            self._server.close()
-        for writer in tuple(self._writers):
-            writer.transport.abort()
 
     def entry(self, service: str, **changed: object) -> dict[str, object]:
         """Return the entry that the replica stores of itself."""
@@ -91,19 +76,16 @@
             **changed,
         }
 
-    async def _serve(
+    async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        """Serve one connection until it ends."""
         self.connections += 1
-        self._writers.add(writer)
-        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
-            while (request := await read_request(reader)) is not None:
-                fault = self.faults.popleft() if self.faults else None
-                if not await self._answer(request, writer, fault):
-                    break
-                await writer.drain()
-        self._writers.discard(writer)
-        writer.transport.abort()
+        while (request := await read_request(reader)) is not None:
+            fault = self.faults.popleft() if self.faults else None
+            if not await self._answer(request, writer, fault):
+                break
+            await writer.drain()
 
     async def _answer(
         self,
--- a/tools/platform_standins/store.py
+++ b/tools/platform_standins/store.py
@@ -9,7 +9,12 @@
 import struct
 from typing import Any, Final
 
-from tools.platform_standins.http import SeenRequest, answer, read_request
+from tools.platform_standins.http import (
+    SeenRequest,
+    StandInServer,
+    answer,
+    read_request,
+)
 
 OPERATOR: Final = 'keyed.op'
 REPLICAS: Final = 'keyed.servers'
@@ -61,10 +66,11 @@
         self.records.clear()
 
 
-class StandInStore:
+class StandInStore(StandInServer):
     """Serves the store's calls on a loopback address."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.topic_by_name: dict[str, TopicLog] = {
             name: TopicLog() for name in (OPERATOR, REPLICAS, STATUS)
         }
@@ -72,22 +78,6 @@
         self.delay_s: float = 0
         self.calls = 0
         self._changed = asyncio.Event()
-        self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
-        self.address = ''
-
-    async def start(self, host: str, port: int = 0) -> None:
-        """Listen."""
-        self._server = await asyncio.start_server(self._serve, host, port)
-        bound = self._server.sockets[0].getsockname()
-        self.address = f'{bound[0]}:{bound[1]}'
-
-    def stop(self) -> None:
-        """Close the listener and every connection."""
-        if self._server is not None:
-            self._server.close()
-        for writer in tuple(self._writers):
-            writer.transport.abort()
 
     async def put(self, topic: str, key: str, content: Any) -> int:
         """Store a JSON value as the operator or a replica does."""
@@ -103,17 +93,14 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _serve(
+    async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self._writers.add(writer)
-        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
-            while (request := await read_request(reader)) is not None:
-                self.calls += 1
-                if not await self._answer(request, writer):
-                    break
-        self._writers.discard(writer)
-        writer.transport.abort()
+        """Serve one connection until it ends."""
+        while (request := await read_request(reader)) is not None:
+            self.calls += 1
+            if not await self._answer(request, writer):
+                break
 
     async def _answer(
         self, request: SeenRequest, writer: asyncio.StreamWriter
--- a/tools/soak/daemons.py
+++ b/tools/soak/daemons.py
@@ -103,9 +103,9 @@
 async def _is_ready(host: str, port: int) -> bool:
     try:
         reader, writer = await asyncio.open_connection(host, port)
+        writer.write(b'GET /ready HTTP/1.1\r\nHost: x\r\n\r\n')
+        first = await reader.readline()
     except OSError:
         return False
-    writer.write(b'GET /ready HTTP/1.1\r\nHost: x\r\n\r\n')
-    first = await reader.readline()
     writer.close()
     return b' 200 ' in first
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -1,9 +1,10 @@
 """A loopback proxy that delays, resets and silences connections."""
 
 import asyncio
-import contextlib
 import dataclasses
 
+from tools.platform_standins.http import StandInServer
+
 
 @dataclasses.dataclass(slots=True)
 class LinkState:
@@ -22,38 +23,19 @@
         self.refuses = False
 
 
-class Proxy:
+class Proxy(StandInServer):
     """Passes connections on to one address."""
 
     def __init__(self, target: str) -> None:
+        super().__init__()
         self._target = target
-        self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
         self.link = LinkState()
-        self.address = ''
-
-    async def start(self, host: str) -> None:
-        """Listen."""
-        self._server = await asyncio.start_server(self._accept, host, 0)
-        bound = self._server.sockets[0].getsockname()
-        self.address = f'{bound[0]}:{bound[1]}'
-
-    def reset(self) -> None:
-        """Reset every connection."""
-        for writer in tuple(self._writers):
-            writer.transport.abort()
 
-    def stop(self) -> None:
-        """Stop listening and reset every connection."""
-        if self._server is not None:
-            self._server.close()
-        self.reset()
-
-    async def _accept(
+    async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        """Pass one connection on until either end closes."""
         if self.link.refuses:
-            writer.transport.abort()
             return
         host, _, port = self._target.rpartition(':')
         try:
@@ -61,17 +43,16 @@
                 host, int(port)
             )
         except OSError:
-            writer.transport.abort()
             return
-        self._writers |= {writer, far_writer}
-        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+        self._writers.add(far_writer)
+        try:
             await asyncio.gather(
                 self._pass_on(reader, far_writer, is_forward=True),
                 self._pass_on(far_reader, writer, is_forward=False),
             )
-        self._writers -= {writer, far_writer}
-        writer.transport.abort()
-        far_writer.transport.abort()
+        finally:
+            self._writers.discard(far_writer)
+            far_writer.transport.abort()
 
     async def _pass_on(
         self,
