Keep sessions on their version for the whole first half of a roll-out

Cause: read while going through the code: sessions under way could move from 0.47 of the time on, as the bound was taken from another constant. Change: one pure decision, is_moved, with a test that fails without it.

--- a/marigoldhoist/components/canary/service.py
+++ b/marigoldhoist/components/canary/service.py
@@ -6,7 +6,6 @@
 
 from marigoldhoist.components.canary.const import (
     COMPLETE_AT,
-    COMPLETE_LATEST_AT,
     STATUS_PAUSE_S,
     STATUS_WAIT_S,
 )
@@ -24,8 +23,8 @@
 )
 from marigoldhoist.components.canary.shares import (
     SessionMemory,
+    is_moved,
     position_of,
-    share_of_target,
 )
 from marigoldhoist.components.canary.status_writer import (
     EncodeStatus,
@@ -164,17 +163,16 @@
         if not self._is_status_known:
             return False
         now_s = SYSTEM_CLOCK.boottime_s()
-        progress = roll_out.progress(now_s)
-        share = share_of_target(progress, self._promises.canary_share)
         known = self._sessions.version_of(session, now_s) if session else ''
-        target = roll_out.order.target
-        if known == target:
+        if known == roll_out.order.target:
             return True
-        key = session or str(random.random())
-        is_due = position_of(key) < share
-        if known and progress < COMPLETE_LATEST_AT / 2:
-            return False
-        return is_due
+        position = position_of(session) if session else random.random()
+        return is_moved(
+            position,
+            roll_out.progress(now_s),
+            self._promises.canary_share,
+            is_under_way=bool(known),
+        )
 
     def _follow_status(self) -> None:
         if (
--- a/marigoldhoist/components/canary/shares.py
+++ b/marigoldhoist/components/canary/shares.py
@@ -63,6 +63,23 @@
     return min(1, max(canary_share * CANARY_PART, ramp))
 
 
+def is_moved(
+    position: float,
+    progress: float,
+    canary_share: float,
+    *,
+    is_under_way: bool,
+) -> bool:
+    """Tell whether a session gets the new version.
+
+    One that is under way on the old version stays there while the new one is
+    tried.
+    """
+    if is_under_way and progress < CANARY_UNTIL:
+        return False
+    return position < share_of_target(progress, canary_share)
+
+
 def position_of(session: str) -> float:
     """Return the session's place in 0 to 1, the same at every daemon."""
     return xxhash.xxh3_64_intdigest(session.encode()) / HASH_RANGE
--- a/tests/components/canary/test_shares.py
+++ b/tests/components/canary/test_shares.py
@@ -4,6 +4,7 @@
 
 from marigoldhoist.components.canary.shares import (
     SessionMemory,
+    is_moved,
     position_of,
     share_of_target,
 )
@@ -33,6 +34,20 @@
         assert chosen / 5000 == pytest.approx(share, abs=0.02)
 
 
+class TestMove:
+    """Which sessions move, and when."""
+
+    @pytest.mark.parametrize('progress', (0, 0.3, 0.48, 0.499))
+    def test_session_under_way_stays_in_the_first_half(
+        self, progress: float
+    ) -> None:
+        assert not is_moved(0, progress, PROMISED, is_under_way=True)
+        assert is_moved(0, progress, PROMISED, is_under_way=False)
+
+    def test_every_session_moves_in_the_end(self) -> None:
+        assert is_moved(0.99, 0.85, PROMISED, is_under_way=True)
+
+
 class TestSessions:
     """Sessions under way."""
 
