Judge a slow version over unlike work together

Change: each answer is compared with the old version's usual time for its own work, and the slow ones of all works count together, against the old version's own share.

--- a/marigoldhoist/components/canary/const.py
+++ b/marigoldhoist/components/canary/const.py
@@ -19,9 +19,15 @@
 # often than the others do.
 LEAST_FAILURES: Final = 2
 FAILURE_FACTOR: Final = 4.0
-# And after this many answers that took this many times as long.
-LEAST_SLOW_ANSWERS: Final = 6
+# It is slow after this many answers that took this many times as long as the
+# others' do for the same work, if they are at least this share of its answers
+# and this many times the others' own share.
+LEAST_SLOW_ANSWERS: Final = 3
 SLOW_FACTOR: Final = 3.0
+LEAST_SLOW_SHARE: Final = 0.35
+SLOW_SHARE_FACTOR: Final = 3.0
+# Fewer answers of the others than these are no measure.
+LEAST_COMPARED: Final = 4
 
 # Daemons that would all write the same status spread over this time.
 WRITE_SPREAD_S: Final = 0.6
--- a/marigoldhoist/components/canary/judge.py
+++ b/marigoldhoist/components/canary/judge.py
@@ -14,15 +14,21 @@
 
 from marigoldhoist.components.canary.const import (
     FAILURE_FACTOR,
+    LEAST_COMPARED,
     LEAST_FAILURES,
     LEAST_SLOW_ANSWERS,
+    LEAST_SLOW_SHARE,
     SLOW_FACTOR,
+    SLOW_SHARE_FACTOR,
 )
 
 # Answers remembered of each version and route.
 REMEMBERED_ANSWERS: Final = 60
 # Failures of the old version that count even where none was seen.
 PRIOR_FAILURES: Final = 0.5
+# A version without many answers is taken to have one slow answer in ten.
+PRIOR_SLOW: Final = 1
+PRIOR_ANSWERS: Final = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,9 +69,11 @@
         others = list(self._answers_of_others(target))
         if failed >= LEAST_FAILURES and self._fails_more(works, others):
             return f'{failed} failures'
-        for work, seen in works.items():
-            if self._is_slow(target, work, seen):
-                return f'slow on {work}'
+        slow, judged = self._slow_answers(target)
+        if slow >= LEAST_SLOW_ANSWERS and slow > judged * self._slow_bound(
+            target
+        ):
+            return f'{slow} of {judged} answers slow'
         return ''
 
     def _answers_of_others(self, target: str) -> Iterator[SeenAnswer]:
@@ -85,20 +93,59 @@
             if _failures(seen)
         )
 
-    def _is_slow(
-        self, target: str, work: str, seen: collections.deque[SeenAnswer]
-    ) -> bool:
-        good = [
-            answer.relative_time for answer in seen if not answer.is_failure
-        ]
-        usual = [
+    def _slow_answers(self, version: str) -> tuple[int, int]:
+        """Return how many answers were slow, and of how many.
+
+        Each is compared with the others' usual time for the same work, so
+        that answers of unlike work count together.
+        """
+        slow = 0
+        judged = 0
+        for work, seen in self._seen[version].items():
+            usual = self._usual_time(version, work)
+            if usual is None:
+                continue
+            times = [one.relative_time for one in seen if not one.is_failure]
+            judged += len(times)
+            slow += sum(1 for time in times if time > SLOW_FACTOR * usual)
+        return slow, judged
+
+    def _slow_bound(self, target: str) -> float:
+        """Return the share of slow answers above which a version is slow."""
+        slow = 0
+        judged = 0
+        for version in self._seen.keys() - {target}:
+            found = self._slow_among_own(version)
+            slow += found[0]
+            judged += found[1]
+        return max(
+            LEAST_SLOW_SHARE,
+            SLOW_SHARE_FACTOR * (PRIOR_SLOW + slow) / (PRIOR_ANSWERS + judged),
+        )
+
+    def _slow_among_own(self, version: str) -> tuple[int, int]:
+        """Return the answers that were slow for the version itself."""
+        slow = 0
+        judged = 0
+        for seen in self._seen[version].values():
+            times = [one.relative_time for one in seen if not one.is_failure]
+            if len(times) < LEAST_COMPARED:
+                continue
+            usual = statistics.median(times)
+            judged += len(times)
+            slow += sum(1 for time in times if time > SLOW_FACTOR * usual)
+        return slow, judged
+
+    def _usual_time(self, target: str, work: str) -> float | None:
+        """Return the other versions' median, none where few are known."""
+        times = [
             answer.relative_time
             for answer in self._answers_of_others(target)
             if answer.work == work and not answer.is_failure
         ]
-        if min(len(good), len(usual)) < LEAST_SLOW_ANSWERS:
-            return False
-        return statistics.median(good) > SLOW_FACTOR * statistics.median(usual)
+        if len(times) < LEAST_COMPARED:
+            return None
+        return statistics.median(times)
 
 
 def _failures(seen: collections.deque[SeenAnswer] | list[SeenAnswer]) -> int:
--- a/tests/components/canary/test_judge.py
+++ b/tests/components/canary/test_judge.py
@@ -63,6 +63,16 @@
             judge.note(NEW, good(rng, factor=8))
         assert 'slow' in judge.complaint(NEW)
 
+    def test_few_slow_answers_of_unlike_work_are_enough(self) -> None:
+        judge = VersionJudge()
+        rng = random.Random(6)
+        works = [f'w{number}' for number in range(6)]
+        for _ in range(60):
+            judge.note(OLD, good(rng, rng.choice(works)))
+        for work in works[:4]:
+            judge.note(NEW, good(rng, work, factor=8))
+        assert 'slow' in judge.complaint(NEW)
+
     def test_good_version_is_seldom_taken_for_slow(self) -> None:
         wrong = sum(self._is_blamed(seed) for seed in range(200))
         assert wrong <= 4
