--- a/marigoldhoist/components/canary/const.py
+++ b/marigoldhoist/components/canary/const.py
@@ -15,20 +15,6 @@
 # over requests that arrive unevenly.
 CANARY_PART: Final = 0.6
 
-# A version is bad after this many failures, if it fails this many times more
-# often than the others do.
-LEAST_FAILURES: Final = 2
-FAILURE_FACTOR: Final = 4.0
-# It is slow after this many answers that took this many times as long as the
-# others' do for the same work, if they are at least this share of its answers
-# and this many times the others' own share.
-LEAST_SLOW_ANSWERS: Final = 3
-SLOW_FACTOR: Final = 3.0
-LEAST_SLOW_SHARE: Final = 0.35
-SLOW_SHARE_FACTOR: Final = 3.0
-# Fewer answers of the others than these are no measure.
-LEAST_COMPARED: Final = 4
-
 # Daemons that would all write the same status spread over this time.
 WRITE_SPREAD_S: Final = 0.6
 STATUS_WAIT_S: Final = 1.0
--- /dev/null
+++ b/marigoldhoist/components/canary/evidence.py
@@ -0,0 +1,196 @@
+"""What was seen of a new version, and whether that shows it to be bad.
+
+Answers a fleet whose every daemon sees few answers of the new version: the
+counts of several daemons are put together before they are judged.
+"""
+
+import collections
+import dataclasses
+import enum
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Final
+
+import msgspec
+
+# A version is bad after this many failures, if on some route it fails at
+# least this often, and this many times more often than the others do.
+LEAST_FAILURES: Final = 2
+LEAST_FAILURE_SHARE: Final = 0.05
+FAILURE_FACTOR: Final = 4.0
+# Failures of the others that count even where none was seen.
+PRIOR_FAILURES: Final = 0.5
+# Load that rises at once slows a few answers down in the same moment, first
+# where there are few replicas; answers of a slow version go on being slow.
+LEAST_SLOW_SPAN_S: Final = 1.5
+# It is slow if enough of its answers are, and this many times more often than
+# the others' own.
+SLOW_SHARE_FACTOR: Final = 3.0
+# Others without many answers are taken to have one slow answer in ten.
+PRIOR_SLOW: Final = 1
+PRIOR_ANSWERS: Final = 10
+# Slow answers of one kind of work that are enough by themselves, and the share
+# of that work's answers that they must be.
+LEAST_SLOW_OF_WORK: Final = 5
+LEAST_SLOW_SHARE_OF_WORK: Final = 0.8
+
+
+class Measure(enum.Enum):
+    """Which time of an answer is compared."""
+
+    START = 'start'
+    PACE = 'pace'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlowRule:
+    """How many slow answers, and which share of all, show a slow version."""
+
+    least_answers: int
+    least_share: float
+
+
+# Times to the start of an answer vary with what a replica has in hand.
+SLOW_RULE_BY_MEASURE: Final[Mapping[Measure, SlowRule]] = {
+    Measure.START: SlowRule(least_answers=3, least_share=0.5),
+    Measure.PACE: SlowRule(least_answers=3, least_share=0.35),
+}
+
+
+class Work(msgspec.Struct, frozen=True, array_like=True):
+    """A kind of work and a time of its answers, compared by themselves."""
+
+    kind: str
+    measure: Measure
+
+
+class WorkEvidence(msgspec.Struct, array_like=True):
+    """Counts of answers of one work: the new version's, and the others'.
+
+    `compared` answers were compared with the others' usual time; `slow` of
+    them took much longer, the oldest and the newest of them so long ago.
+    """
+
+    work: Work
+    answers: int
+    failures: int
+    compared: int
+    slow: int
+    others_answers: int
+    others_failures: int
+    others_compared: int
+    others_slow: int
+    oldest_slow_age_s: float
+    newest_slow_age_s: float
+
+    def add(self, other: 'WorkEvidence') -> None:
+        """Add another daemon's counts of the same work."""
+        self.answers += other.answers
+        self.failures += other.failures
+        self.compared += other.compared
+        self.slow += other.slow
+        self.others_answers += other.others_answers
+        self.others_failures += other.others_failures
+        self.others_compared += other.others_compared
+        self.others_slow += other.others_slow
+        self.oldest_slow_age_s = max(
+            self.oldest_slow_age_s, other.oldest_slow_age_s
+        )
+        self.newest_slow_age_s = min(
+            self.newest_slow_age_s, other.newest_slow_age_s
+        )
+
+    @property
+    def is_slow_for_long(self) -> bool:
+        """Tell whether more than a moment lies between slow answers."""
+        return (
+            self.oldest_slow_age_s - self.newest_slow_age_s >= LEAST_SLOW_SPAN_S
+        )
+
+    @property
+    def slow_bound(self) -> float:
+        """Return the share of slow answers that shows a slow version."""
+        others_share = (PRIOR_SLOW + self.others_slow) / (
+            PRIOR_ANSWERS + self.others_compared
+        )
+        rule = SLOW_RULE_BY_MEASURE[self.work.measure]
+        return max(rule.least_share, SLOW_SHARE_FACTOR * others_share)
+
+
+Evidence = list[WorkEvidence]
+
+
+def pooled(evidences: Iterable[Evidence]) -> Evidence:
+    """Return the counts of several daemons put together."""
+    pooled_by_work: dict[Work, WorkEvidence] = {}
+    for evidence in evidences:
+        for found in evidence:
+            known = pooled_by_work.get(found.work)
+            if known is None:
+                pooled_by_work[found.work] = msgspec.structs.replace(found)
+            else:
+                known.add(found)
+    return list(pooled_by_work.values())
+
+
+def complaint(evidence: Evidence) -> str:
+    """Return why a version is bad, empty where nothing shows that."""
+    return next(_complaints(evidence), '')
+
+
+def _complaints(evidence: Evidence) -> Iterator[str]:
+    started = [one for one in evidence if one.work.measure is Measure.START]
+    failures = sum(one.failures for one in started)
+    if failures >= LEAST_FAILURES and _fails_more(started):
+        answers = sum(one.answers for one in started)
+        yield f'{failures} of {answers} answers failed'
+    for measure, found in _by_measure(evidence).items():
+        if _is_slow(found):
+            yield f'{found.slow} of {found.compared} answers slow ({measure})'
+    for one in evidence:
+        if _is_slow_work(one):
+            yield (
+                f'{one.slow} of {one.compared} answers slow'
+                f' ({one.work.measure.value}) on {one.work.kind}'
+            )
+
+
+def _fails_more(started: Evidence) -> bool:
+    failures = sum(one.others_failures for one in started)
+    answers = sum(one.others_answers for one in started)
+    usual = (PRIOR_FAILURES + failures) / (1 + answers)
+    bound = max(LEAST_FAILURE_SHARE, FAILURE_FACTOR * usual)
+    return any(
+        one.failures / one.answers > bound for one in started if one.failures
+    )
+
+
+def _by_measure(evidence: Evidence) -> dict[str, WorkEvidence]:
+    """Return all kinds of work together, by what was measured."""
+    found_by_measure: dict[str, WorkEvidence] = {}
+    by_measure: dict[Measure, Evidence] = collections.defaultdict(list)
+    for one in evidence:
+        by_measure[one.work.measure].append(one)
+    for measure, found in by_measure.items():
+        total = msgspec.structs.replace(found[0])
+        for one in found[1:]:
+            total.add(one)
+        found_by_measure[measure.value] = total
+    return found_by_measure
+
+
+def _is_slow(found: WorkEvidence) -> bool:
+    rule = SLOW_RULE_BY_MEASURE[found.work.measure]
+    return (
+        found.slow >= rule.least_answers
+        and found.is_slow_for_long
+        and found.slow > found.compared * found.slow_bound
+    )
+
+
+def _is_slow_work(found: WorkEvidence) -> bool:
+    return (
+        found.slow >= LEAST_SLOW_OF_WORK
+        and found.is_slow_for_long
+        and found.slow >= found.compared * LEAST_SLOW_SHARE_OF_WORK
+        and found.slow > found.compared * found.slow_bound
+    )
--- a/marigoldhoist/components/canary/service.py
+++ b/marigoldhoist/components/canary/service.py
@@ -1,6 +1,7 @@
 """Follow roll-outs: choose versions and judge the new one."""
 
 import asyncio
+import collections
 import random
 from collections.abc import Callable
 
@@ -14,6 +15,7 @@
     ROLL_OUT_ORDERED,
     VERSION_FOUND_BAD,
 )
+from marigoldhoist.components.canary.evidence import complaint
 from marigoldhoist.components.canary.judge import SeenAnswer, VersionJudge
 from marigoldhoist.components.canary.models import (
     RollOut,
@@ -51,7 +53,11 @@
         self._promises = kernel.settings.section(PromiseSettings)
         self._directory = kernel.find(DIRECTORY, DirectoryService)
         self._feeds = kernel.find(FEEDS, FeedService)
-        self._judge_by_service: dict[str, VersionJudge] = {}
+        self._judge_by_service: collections.defaultdict[str, VersionJudge] = (
+            collections.defaultdict(
+                lambda: VersionJudge(SYSTEM_CLOCK.boottime_s)
+            )
+        )
         self._sessions = SessionMemory(self._promises.session_gap_ms / MS_PER_S)
         self._tell_status: Callable[[FeedNews], None] | None = None
         self._writer: asyncio.Task[None] | None = None
@@ -79,7 +85,7 @@
             return
         now_s = SYSTEM_CLOCK.boottime_s()
         self.roll_out_by_service[order.service] = RollOut(order, now_s)
-        self._judge_by_service[order.service] = VersionJudge()
+        self._judge_by_service[order.service].begin(order.target)
         emit(
             ROLL_OUT_ORDERED,
             service=order.service,
@@ -127,31 +133,31 @@
         """Take in an answer of a version, for the judge and the session."""
         if session and not answer.is_failure:
             self.keep_session(session, entry.version)
+        judge = self._judge_by_service[entry.service]
+        judge.note(entry.version, answer)
         roll_out = self.roll_out_by_service.get(entry.service)
         if roll_out is None or roll_out.state.is_final or roll_out.is_held:
             return
-        self._judge(roll_out, entry.version, answer)
+        if entry.version == roll_out.order.target:
+            self._judge(roll_out, judge)
 
     def keep_session(self, session: str, version: str) -> None:
         """Note that a session still uses a version."""
         if session:
             self._sessions.note(session, version, SYSTEM_CLOCK.boottime_s())
 
-    def _judge(
-        self, roll_out: RollOut, version: str, answer: SeenAnswer
-    ) -> None:
+    def _judge(self, roll_out: RollOut, judge: VersionJudge) -> None:
+        """Hold the new version back once its answers show it to be bad."""
         order = roll_out.order
-        judge = self._judge_by_service[order.service]
-        judge.note(version, answer)
-        complaint = judge.complaint(order.target)
-        if not complaint:
+        reason = complaint(judge.evidence())
+        if not reason:
             return
         roll_out.is_held = True
         emit(
             VERSION_FOUND_BAD,
             service=order.service,
             version=order.target,
-            reason=complaint,
+            reason=reason,
         )
 
     @property
--- a/marigoldhoist/components/gateway/attempts.py
+++ b/marigoldhoist/components/gateway/attempts.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Container
 from typing import Final
 
+from marigoldhoist.components.canary.evidence import Measure
 from marigoldhoist.components.canary.judge import SeenAnswer
 from marigoldhoist.components.configuration.models import Route
 from marigoldhoist.components.directory.models import Replica
@@ -100,6 +101,14 @@
             ),
         )
 
+    def note_pace(self, answer: RunningAnswer, pace_s: float) -> None:
+        """Learn the seconds between events of a stream that goes on."""
+        self._desk.canary.note_answer(
+            answer.replica.entry,
+            self._progress.call.session,
+            SeenAnswer(False, pace_s, self._progress.work, Measure.PACE),
+        )
+
     def note_failed(self, error: AttemptError) -> None:
         """Take in that a replica gave no answer."""
         progress = self._progress
--- a/marigoldhoist/components/gateway/sending.py
+++ b/marigoldhoist/components/gateway/sending.py
@@ -34,7 +34,11 @@
 
 
 class RunningAnswer:
-    """A replica's answer whose head was read and whose body follows."""
+    """A replica's answer whose head was read and whose body follows.
+
+    `head_s` is the time to its head, `waited_s` the time spent waiting for
+    its body; what the caller's connection takes counts for neither.
+    """
 
     def __init__(
         self,
@@ -47,6 +51,7 @@
         self.head = head
         self.signs = signs
         self.head_s: float = 0
+        self.waited_s: float = 0
         self._connection = connection
         self._is_whole = False
 
@@ -65,6 +70,7 @@
 
     async def _next_item(self) -> Item:
         """Return what comes next of the answer, at last its end."""
+        asked_s = SYSTEM_CLOCK.boottime_s()
         try:
             item = await self._connection.next_item()
         except ConnectionEndedError as error:
@@ -75,6 +81,7 @@
             raise AttemptError(
                 'answer malformed', Verdict.MAY_HAVE_RUN
             ) from error
+        self.waited_s += SYSTEM_CLOCK.boottime_s() - asked_s
         self._is_whole = item is End.OF_MESSAGE
         return item
 
--- a/marigoldhoist/components/gateway/stream_delivery.py
+++ b/marigoldhoist/components/gateway/stream_delivery.py
@@ -9,6 +9,7 @@
 from marigoldhoist.components.gateway.errors import AttemptError
 from marigoldhoist.components.gateway.events import MODEL_RAISED
 from marigoldhoist.components.gateway.messages import LAST_CHUNK
+from marigoldhoist.components.gateway.pace import PaceMeter
 from marigoldhoist.components.gateway.progress import Progress
 from marigoldhoist.components.gateway.sending import RunningAnswer
 from marigoldhoist.components.gateway.splitter import (
@@ -61,8 +62,12 @@
     async def _events(self, answer: RunningAnswer) -> AsyncIterator[bytes]:
         """Yield the whole events that the caller does not have yet."""
         splitter = EventSplitter()
+        meter = PaceMeter()
         async for chunk in answer.chunks():
             for event in splitter.feed(chunk):
+                pace_s = meter.note_event(answer.waited_s)
+                if pace_s is not None:
+                    self._attempts.note_pace(answer, pace_s)
                 if self._is_next(event):
                     yield event.raw
         if splitter.has_partial_event:
