Judge a new version by what all daemons have seen

Cause: each daemon judged by its own few answers, and forgot them when it was started anew. Counts now travel with the reads of states to the reader of the failure domain and between readers, and the order's age with them.

--- a/marigoldhoist/components/canary/events.py
+++ b/marigoldhoist/components/canary/events.py
@@ -14,6 +14,12 @@
     'warning',
     'The new version fails or is slow; it gets no more work here.',
 )
+EVIDENCE_PASSED_OVER = declare_event(
+    3706,
+    'evidence_passed_over',
+    'warning',
+    'What another daemon found cannot be read; it may be of another release.',
+)
 STATUS_WRITTEN = declare_event(
     3704, 'status_written', 'info', 'The state of a roll-out was stored.'
 )
--- a/marigoldhoist/components/canary/evidence.py
+++ b/marigoldhoist/components/canary/evidence.py
@@ -8,7 +8,7 @@
 import dataclasses
 import enum
 from collections.abc import Iterable, Iterator, Mapping
-from typing import Final
+from typing import Final, TypeAlias
 
 import msgspec
 
@@ -116,7 +116,14 @@
         return max(rule.least_share, SLOW_SHARE_FACTOR * others_share)
 
 
-Evidence = list[WorkEvidence]
+Evidence: TypeAlias = list[WorkEvidence]
+
+
+class DaemonEvidence(msgspec.Struct, frozen=True, array_like=True):
+    """A daemon's evidence, and how long it has known of the roll-out."""
+
+    known_for_s: float
+    evidence: Evidence
 
 
 def pooled(evidences: Iterable[Evidence]) -> Evidence:
--- a/marigoldhoist/components/canary/models.py
+++ b/marigoldhoist/components/canary/models.py
@@ -30,6 +30,11 @@
     allowed_s: float
     offset: int = 0
 
+    @property
+    def subject(self) -> str:
+        """Return what daemons' findings about the roll-out go by."""
+        return f'roll-out/{self.service}/{self.target}/{self.offset}'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RollOutStatus:
--- a/marigoldhoist/components/canary/service.py
+++ b/marigoldhoist/components/canary/service.py
@@ -1,7 +1,6 @@
 """Follow roll-outs: choose versions and judge the new one."""
 
 import asyncio
-import collections
 import random
 from collections.abc import Callable
 
@@ -13,10 +12,8 @@
 from marigoldhoist.components.canary.events import (
     ROLL_OUT_MOVED,
     ROLL_OUT_ORDERED,
-    VERSION_FOUND_BAD,
 )
-from marigoldhoist.components.canary.evidence import complaint
-from marigoldhoist.components.canary.judge import SeenAnswer, VersionJudge
+from marigoldhoist.components.canary.judge import SeenAnswer
 from marigoldhoist.components.canary.models import (
     RollOut,
     RollOutOrder,
@@ -32,6 +29,7 @@
     EncodeStatus,
     StatusWriter,
 )
+from marigoldhoist.components.canary.verdicts import Verdicts
 from marigoldhoist.components.directory.const import COMPONENT as DIRECTORY
 from marigoldhoist.components.directory.models import ReplicaEntry
 from marigoldhoist.components.directory.service import DirectoryService
@@ -39,6 +37,8 @@
 from marigoldhoist.components.feeds.feed import FeedNews, FeedPlan
 from marigoldhoist.components.feeds.models import Topic
 from marigoldhoist.components.feeds.service import FeedService
+from marigoldhoist.components.mirrors.const import COMPONENT as MIRRORS
+from marigoldhoist.components.mirrors.service import MirrorService
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.const import MS_PER_S
 from marigoldhoist.core.events import emit
@@ -53,11 +53,7 @@
         self._promises = kernel.settings.section(PromiseSettings)
         self._directory = kernel.find(DIRECTORY, DirectoryService)
         self._feeds = kernel.find(FEEDS, FeedService)
-        self._judge_by_service: collections.defaultdict[str, VersionJudge] = (
-            collections.defaultdict(
-                lambda: VersionJudge(SYSTEM_CLOCK.boottime_s)
-            )
-        )
+        self._verdicts = Verdicts(kernel.find(MIRRORS, MirrorService).findings)
         self._sessions = SessionMemory(self._promises.session_gap_ms / MS_PER_S)
         self._tell_status: Callable[[FeedNews], None] | None = None
         self._writer: asyncio.Task[None] | None = None
@@ -84,8 +80,9 @@
         if known is not None and known.order == order:
             return
         now_s = SYSTEM_CLOCK.boottime_s()
-        self.roll_out_by_service[order.service] = RollOut(order, now_s)
-        self._judge_by_service[order.service].begin(order.target)
+        roll_out = RollOut(order, now_s)
+        self.roll_out_by_service[order.service] = roll_out
+        self._verdicts.begin(roll_out)
         emit(
             ROLL_OUT_ORDERED,
             service=order.service,
@@ -133,33 +130,13 @@
         """Take in an answer of a version, for the judge and the session."""
         if session and not answer.is_failure:
             self.keep_session(session, entry.version)
-        judge = self._judge_by_service[entry.service]
-        judge.note(entry.version, answer)
-        roll_out = self.roll_out_by_service.get(entry.service)
-        if roll_out is None or roll_out.state.is_final or roll_out.is_held:
-            return
-        if entry.version == roll_out.order.target:
-            self._judge(roll_out, judge)
+        self._verdicts.note(entry.service, entry.version, answer)
 
     def keep_session(self, session: str, version: str) -> None:
         """Note that a session still uses a version."""
         if session:
             self._sessions.note(session, version, SYSTEM_CLOCK.boottime_s())
 
-    def _judge(self, roll_out: RollOut, judge: VersionJudge) -> None:
-        """Hold the new version back once its answers show it to be bad."""
-        order = roll_out.order
-        reason = complaint(judge.evidence())
-        if not reason:
-            return
-        roll_out.is_held = True
-        emit(
-            VERSION_FOUND_BAD,
-            service=order.service,
-            version=order.target,
-            reason=reason,
-        )
-
     @property
     def _is_status_known(self) -> bool:
         feed = self._feeds.feed_by_topic.get(Topic.STATUS)
--- a/marigoldhoist/components/gateway/settings.py
+++ b/marigoldhoist/components/gateway/settings.py
@@ -1,14 +1,11 @@
 """Settings of the gateway component."""
 
-from typing import Annotated
-
 import msgspec
 
+from marigoldhoist.core.identity import HostAndPort
 from marigoldhoist.core.promises import Milliseconds
 from marigoldhoist.core.settings import settings_section
 
-HostAndPort = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]{7,15}:[0-9]{1,5}$')]
-
 
 @settings_section('gateway')
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/marigoldhoist/components/mirrors/findings.py
@@ -0,0 +1,141 @@
+"""Hand on what each daemon found out by itself.
+
+Answers a fleet whose every daemon sees too little to decide alone: each
+tells its own findings to the reader of its failure domain, and readers tell
+each other all that they have heard. A daemon that was started anew says
+nothing about what the one before it found, so that stays known for a while.
+"""
+
+import dataclasses
+import itertools
+from collections.abc import Callable, Iterable, Iterator
+from typing import Final, TypeAlias
+
+import msgspec
+
+# Findings in one message, at most: the newest ones are handed on.
+MOST_FINDINGS: Final = 64
+# A finding that was not renewed for this long is forgotten.
+FINDING_LIFE_S: Final = 60.0
+
+
+# Returns what is found now, none where there is nothing to tell any more.
+Find: TypeAlias = Callable[[], bytes | None]
+
+
+class Finding(msgspec.Struct, frozen=True, array_like=True):
+    """What a daemon found about a subject, and how long ago, in seconds.
+
+    The start number tells daemons apart that ran on one host in turn.
+    """
+
+    host: str
+    start_number: int
+    subject: str
+    found: bytes
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeardFinding:
+    """What another daemon found, and when, as a boot time here."""
+
+    found: bytes
+    found_s: float
+
+
+_Key = tuple[str, str, int]
+
+
+class Findings:
+    """The newest findings of other daemons, and what this one finds."""
+
+    def __init__(
+        self, host: str, start_number: int, clock: Callable[[], float]
+    ) -> None:
+        self._host = host
+        self._start_number = start_number
+        self._clock = clock
+        self._own_by_subject: dict[str, Find] = {}
+        self._kept_by_key: dict[_Key, HeardFinding] = {}
+        self._tell: list[Callable[[str], None]] = []
+
+    def share(self, subject: str, find: Find) -> None:
+        """Tell others what is found about a subject whenever they are met."""
+        self._own_by_subject[subject] = find
+
+    def withdraw(self, subject: str) -> None:
+        """Stop telling others about a subject; they keep what they know."""
+        self._own_by_subject.pop(subject, None)
+
+    def on_heard(self, tell: Callable[[str], None]) -> None:
+        """Call that with each subject of which something new was heard."""
+        self._tell.append(tell)
+
+    def about(self, subject: str) -> list[HeardFinding]:
+        """Return what other daemons found about a subject."""
+        self._forget_old()
+        return [
+            kept for key, kept in self._kept_by_key.items() if key[0] == subject
+        ]
+
+    def own(self) -> list[Finding]:
+        """Return what this daemon finds now."""
+        return list(self._own())
+
+    def all(self) -> list[Finding]:
+        """Return what this daemon finds, and the newest that it has heard."""
+        if not self._own_by_subject and not self._kept_by_key:
+            return []
+        self._forget_old()
+        newest = sorted(
+            self._kept_by_key.items(), key=lambda item: -item[1].found_s
+        )
+        told = itertools.chain(self._own(), map(self._as_finding, newest))
+        return list(itertools.islice(told, MOST_FINDINGS))
+
+    def hear(self, findings: Iterable[Finding]) -> None:
+        """Take in what another daemon tells."""
+        now_s = self._clock()
+        subjects = {
+            finding.subject
+            for finding in findings
+            if self._is_news(finding, now_s - finding.age_s)
+        }
+        for subject, tell in itertools.product(sorted(subjects), self._tell):
+            tell(subject)
+
+    def _own(self) -> Iterator[Finding]:
+        for subject, find in self._own_by_subject.items():
+            found = find()
+            if found is not None:
+                yield Finding(self._host, self._start_number, subject, found, 0)
+
+    def _as_finding(self, item: tuple[_Key, HeardFinding]) -> Finding:
+        (subject, host, start_number), kept = item
+        age_s = self._clock() - kept.found_s
+        return Finding(host, start_number, subject, kept.found, age_s)
+
+    def _is_news(self, finding: Finding, found_s: float) -> bool:
+        """Keep a finding if it is newer than the one that is known."""
+        if (finding.host, finding.start_number) == (
+            self._host,
+            self._start_number,
+        ):
+            return False
+        if finding.age_s > FINDING_LIFE_S:
+            return False
+        key = (finding.subject, finding.host, finding.start_number)
+        known = self._kept_by_key.get(key)
+        if known is not None and known.found_s >= found_s:
+            return False
+        self._kept_by_key[key] = HeardFinding(finding.found, found_s)
+        return known is None or known.found != finding.found
+
+    def _forget_old(self) -> None:
+        oldest_s = self._clock() - FINDING_LIFE_S
+        self._kept_by_key = {
+            key: kept
+            for key, kept in self._kept_by_key.items()
+            if kept.found_s >= oldest_s
+        }
--- a/marigoldhoist/components/mirrors/models.py
+++ b/marigoldhoist/components/mirrors/models.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from marigoldhoist.components.mirrors.findings import Finding
+
 
 class DaemonCard(msgspec.Struct, frozen=True, array_like=True):
     """A daemon, and how long ago it was heard from, in seconds."""
@@ -15,13 +17,14 @@
 class ReadRequest(msgspec.Struct, frozen=True, array_like=True):
     """Ask for a topic's records from an offset, all for a negative one.
 
-    An empty topic asks for the known daemons only.
+    An empty topic asks for the known daemons and what they found.
     """
 
     caller: DaemonCard
     topic: str
     offset: int
     wait_s: float
+    findings: list[Finding] = []
 
 
 class MirroredRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -43,3 +46,4 @@
     end: int | None
     age_s: float
     daemons: list[DaemonCard]
+    findings: list[Finding] = []
--- a/marigoldhoist/components/mirrors/peers.py
+++ b/marigoldhoist/components/mirrors/peers.py
@@ -7,6 +7,7 @@
 import grpclib.client
 import grpclib.const
 import grpclib.server
+import msgspec
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from marigoldhoist.components.feeds.errors import StoreUnavailableError
@@ -22,6 +23,7 @@
     CALL_TIMEOUT_S,
     LONGEST_WAIT_S,
 )
+from marigoldhoist.components.mirrors.findings import Finding, Findings
 from marigoldhoist.components.mirrors.members import Member, Members
 from marigoldhoist.components.mirrors.models import (
     MirroredRecord,
@@ -43,8 +45,9 @@
 class PeerClient:
     """Calls to other daemons over one connection each."""
 
-    def __init__(self, members: Members) -> None:
+    def __init__(self, members: Members, findings: Findings) -> None:
         self._members = members
+        self._findings = findings
         self._channel_by_address: dict[str, grpclib.client.Channel] = {}
 
     async def read(
@@ -52,7 +55,11 @@
     ) -> ReadReply:
         """Return a daemon's answer; StoreUnavailableError for none."""
         request = ReadRequest(
-            self._members.own, topic.value if topic else '', offset, wait_s
+            self._members.own,
+            topic.value if topic else '',
+            offset,
+            wait_s,
+            self._findings_for(topic),
         )
         try:
             reply = await self._call(member.address, request)
@@ -62,8 +69,19 @@
             raise StoreUnavailableError(f'{member.host}: {error!r}') from error
         self._members.note_answered(member)
         self._members.hear(reply.daemons)
+        self._findings.hear(reply.findings)
         return reply
 
+    def _findings_for(self, topic: Topic | None) -> list[Finding]:
+        """Return what to tell along with a read.
+
+        States of roll-outs are read only while there are some, and that is
+        when there is something to find.
+        """
+        if topic is None:
+            return self._findings.all()
+        return self._findings.own() if topic is Topic.STATUS else []
+
     def close(self) -> None:
         """Close every connection."""
         for address in tuple(self._channel_by_address):
@@ -127,9 +145,13 @@
     """Answers other daemons from this daemon's feeds."""
 
     def __init__(
-        self, members: Members, feed_by_topic: Mapping[Topic, Feed]
+        self,
+        members: Members,
+        findings: Findings,
+        feed_by_topic: Mapping[Topic, Feed],
     ) -> None:
         self._members = members
+        self._findings = findings
         self._feed_by_topic = feed_by_topic
 
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
@@ -150,12 +172,13 @@
         if request is None:
             return
         self._members.hear((request.caller,))
+        self._findings.hear(request.findings)
         await stream.send_message(await self._reply(request))
 
     async def _reply(self, request: ReadRequest) -> ReadReply:
         feed = self._feed_for(request.topic)
         if feed is None or feed.end is None:
-            return ReadReply([], None, 0, self._members.cards())
+            return self._told(request, ReadReply([], None, 0, []))
         if request.offset != WHOLE:
             await feed.wait_beyond(
                 request.offset, min(request.wait_s, LONGEST_WAIT_S)
@@ -164,7 +187,15 @@
             MirroredRecord(record.key, record.value, record.offset)
             for record in feed.mirrored(max(0, request.offset))
         ]
-        return ReadReply(records, feed.end, feed.age_s, self._members.cards())
+        reply = ReadReply(records, feed.end, feed.age_s, [])
+        return self._told(request, reply)
+
+    def _told(self, request: ReadRequest, reply: ReadReply) -> ReadReply:
+        """Return a reply with the known daemons, and findings where asked."""
+        findings = [] if request.topic else self._findings.all()
+        return msgspec.structs.replace(
+            reply, daemons=self._members.cards(), findings=findings
+        )
 
     def _feed_for(self, name: str) -> Feed | None:
         topic = next((one for one in Topic if one.value == name), None)
--- a/marigoldhoist/components/mirrors/service.py
+++ b/marigoldhoist/components/mirrors/service.py
@@ -21,6 +21,7 @@
     SPARE_PEERS,
 )
 from marigoldhoist.components.mirrors.events import READER_CHANGED
+from marigoldhoist.components.mirrors.findings import Findings
 from marigoldhoist.components.mirrors.members import Member, Members
 from marigoldhoist.components.mirrors.models import DaemonCard
 from marigoldhoist.components.mirrors.peers import (
@@ -31,6 +32,7 @@
 )
 from marigoldhoist.components.mirrors.settings import MirrorSettings
 from marigoldhoist.core.clock import SYSTEM_CLOCK
+from marigoldhoist.core.const import MS_PER_S
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.identity import DaemonSettings
 from marigoldhoist.core.kernel import BaseService, Kernel
@@ -50,7 +52,12 @@
             0,
         )
         self.members = Members(own, SYSTEM_CLOCK.boottime_s)
-        self._client = PeerClient(self.members)
+        # Boot times only grow on a host, and are alike at no two starts.
+        start_number = int(SYSTEM_CLOCK.boottime_s() * MS_PER_S)
+        self.findings = Findings(
+            daemon.host, start_number, SYSTEM_CLOCK.boottime_s
+        )
+        self._client = PeerClient(self.members, self.findings)
         self._server: grpclib.server.Server | None = None
         self._gossip: asyncio.Task[None] | None = None
         self._was_reader = True
@@ -61,7 +68,9 @@
         if self._settings.address is None:
             return
         host, _, port = self._settings.address.rpartition(':')
-        handler = MirrorHandler(self.members, self._feeds.feed_by_topic)
+        handler = MirrorHandler(
+            self.members, self.findings, self._feeds.feed_by_topic
+        )
         self._server = grpclib.server.Server([handler], codec=MsgpackCodec())
         await self._server.start(host, int(port))
         self._gossip = asyncio.get_running_loop().create_task(self._run())
--- a/marigoldhoist/components/mirrors/settings.py
+++ b/marigoldhoist/components/mirrors/settings.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from marigoldhoist.components.gateway.settings import HostAndPort
+from marigoldhoist.core.identity import HostAndPort
 from marigoldhoist.core.settings import settings_section
 
 
--- a/tests/components/canary/test_judge.py
+++ b/tests/components/canary/test_judge.py
@@ -102,11 +102,11 @@
             for kind in 'abcd':
                 judge.note(OLD, pace(rng, 0.04, kind))
         for number in range(6):
-            for kind in 'abcd':
+            for kind in 'aabbccdd':
                 judge.note(OLD, pace(rng, 0.04, kind))
             judge.note(NEW, pace(rng, 0.2, 'a'))
-            judge.note(NEW, pace(rng, 0.04, 'bcd'[number % 3]))
-            judge.note(NEW, pace(rng, 0.04, 'bcd'[number % 3]))
+            for _ in range(3):
+                judge.note(NEW, pace(rng, 0.04, 'bcd'[number % 3]))
         assert 'on a' in complaint(judge.evidence())
 
     def test_answers_before_the_order_are_the_measure(self) -> None:
