Move sessions to a new version as late as the promised share asks for

All sessions but those that try it now move shortly before the end. An order is taken to be half as old as the gap in which it came.

A failed answer that is followed by another try is logged now.

--- a/marigoldhoist/components/canary/const.py
+++ b/marigoldhoist/components/canary/const.py
@@ -4,16 +4,20 @@
 
 COMPONENT: Final = 'canary'
 
-# Parts of the time that the operator allows for a roll-out.
-CANARY_UNTIL: Final = 0.5
-ALL_MOVED_AT: Final = 0.85
-COMPLETE_AT: Final = 0.88
-# In-flight requests of the old version may hold completion up until then.
-COMPLETE_LATEST_AT: Final = 0.94
+# A bad version that does not show must not get more than the promised share of
+# all requests from the order to its deadline. Of that share these parts go to
+# the sessions that try it, to the move of all others, and to the time that is
+# left to store the end; the rest is for requests that arrive unevenly.
+TRIED_PART: Final = 0.3
+MOVE_PART: Final = 0.2
+END_PART: Final = 0.4
+# In-flight requests of the old version may hold the end up for this part of
+# the time that is left then.
+LATEST_END_PART: Final = 0.15
 
-# Part of the promised share that the canary is given, as the share is counted
-# over requests that arrive unevenly.
-CANARY_PART: Final = 0.6
+# An order that was seen after a gap without news is taken to be as old as half
+# of the gap, and no older than this.
+LONGEST_ORDER_AGE_S: Final = 0.7
 
 # Daemons that would all write the same status spread over this time.
 WRITE_SPREAD_S: Final = 0.6
--- a/marigoldhoist/components/canary/models.py
+++ b/marigoldhoist/components/canary/models.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 import enum
+import math
+
+from marigoldhoist.components.canary.const import LONGEST_ORDER_AGE_S
 
 
 class RollOutState(enum.Enum):
@@ -62,3 +65,13 @@
     def progress(self, now_s: float) -> float:
         """Return the part of the allowed time that has passed."""
         return (now_s - self.seen_s) / max(1, self.order.allowed_s)
+
+
+def begun(order: RollOutOrder, now_s: float, unseen_s: float) -> RollOut:
+    """Return a roll-out that was ordered within the seconds before now.
+
+    Of those it is taken to be half as old, as nobody tells; an infinite time
+    tells that nothing was known before.
+    """
+    age_s = 0 if math.isinf(unseen_s) else unseen_s / 2
+    return RollOut(order, now_s - min(age_s, LONGEST_ORDER_AGE_S))
--- a/marigoldhoist/components/canary/service.py
+++ b/marigoldhoist/components/canary/service.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 
 from marigoldhoist.components.canary.const import (
-    COMPLETE_AT,
     STATUS_PAUSE_S,
     STATUS_WAIT_S,
 )
@@ -19,10 +18,11 @@
     RollOutOrder,
     RollOutState,
     RollOutStatus,
+    begun,
 )
 from marigoldhoist.components.canary.shares import (
+    MovePlan,
     SessionMemory,
-    is_moved,
     position_of,
 )
 from marigoldhoist.components.canary.status_writer import (
@@ -55,6 +55,7 @@
         self._feeds = kernel.find(FEEDS, FeedService)
         self._verdicts = Verdicts(kernel.find(MIRRORS, MirrorService).findings)
         self._sessions = SessionMemory(self._promises.session_gap_ms / MS_PER_S)
+        self._plan = MovePlan(self._promises.canary_share)
         self._tell_status: Callable[[FeedNews], None] | None = None
         self._writer: asyncio.Task[None] | None = None
         self.roll_out_by_service: dict[str, RollOut] = {}
@@ -65,7 +66,11 @@
         """Use that translation of stored states and begin to store them."""
         self._tell_status = tell_status
         writer = StatusWriter(
-            self.roll_out_by_service, self._directory, self._feeds, encode
+            self.roll_out_by_service,
+            self._plan,
+            self._directory,
+            self._feeds,
+            encode,
         )
         self._writer = asyncio.get_running_loop().create_task(writer.run())
 
@@ -74,13 +79,17 @@
         if self._writer is not None:
             self._writer.cancel()
 
-    def take_order(self, order: RollOutOrder) -> None:
-        """Take the operator's newest order for a service."""
+    def take_order(self, order: RollOutOrder, unseen_s: float) -> None:
+        """Take the operator's newest order for a service.
+
+        It may have been given at any time in the seconds `unseen_s` before
+        now, infinite where nothing was known before.
+        """
         known = self.roll_out_by_service.get(order.service)
         if known is not None and known.order == order:
             return
         now_s = SYSTEM_CLOCK.boottime_s()
-        roll_out = RollOut(order, now_s)
+        roll_out = begun(order, now_s, unseen_s)
         self.roll_out_by_service[order.service] = roll_out
         self._verdicts.begin(roll_out)
         emit(
@@ -88,6 +97,7 @@
             service=order.service,
             target=order.target,
             allowed_s=order.allowed_s,
+            unseen_s=round(unseen_s, 3),
         )
         self._follow_status()
 
@@ -120,7 +130,7 @@
         if self._gets_target(roll_out, session):
             return (target, *others)
         progress = roll_out.progress(SYSTEM_CLOCK.boottime_s())
-        if others or progress < COMPLETE_AT:
+        if others or progress < self._plan.all_moved_at:
             return others
         return (target,)
 
@@ -150,11 +160,8 @@
         if known == roll_out.order.target:
             return True
         position = position_of(session) if session else random.random()
-        return is_moved(
-            position,
-            roll_out.progress(now_s),
-            self._promises.canary_share,
-            is_under_way=bool(known),
+        return self._plan.is_moved(
+            position, roll_out.progress(now_s), is_under_way=bool(known)
         )
 
     def _follow_status(self) -> None:
--- a/marigoldhoist/components/canary/shares.py
+++ b/marigoldhoist/components/canary/shares.py
@@ -12,10 +12,11 @@
 import xxhash
 
 from marigoldhoist.components.canary.const import (
-    ALL_MOVED_AT,
-    CANARY_PART,
-    CANARY_UNTIL,
+    END_PART,
+    LATEST_END_PART,
+    MOVE_PART,
     REMEMBERED_SESSIONS,
+    TRIED_PART,
 )
 
 HASH_RANGE: Final = 1 << 64
@@ -53,31 +54,57 @@
         return use.version
 
 
-def share_of_target(progress: float, canary_share: float) -> float:
-    """Return the part of the sessions that get the new version."""
-    if progress < 0:
-        return 0
-    if progress < CANARY_UNTIL:
-        return canary_share * CANARY_PART
-    ramp = (progress - CANARY_UNTIL) / (ALL_MOVED_AT - CANARY_UNTIL)
-    return min(1, max(canary_share * CANARY_PART, ramp))
-
-
-def is_moved(
-    position: float,
-    progress: float,
-    canary_share: float,
-    *,
-    is_under_way: bool,
-) -> bool:
-    """Tell whether a session gets the new version.
+@dataclasses.dataclass(frozen=True, slots=True)
+class MovePlan:
+    """When sessions move, in parts of the time allowed for a roll-out.
 
-    One that is under way on the old version stays there while the new one is
-    tried.
+    Answers versions that are bad only under a load which did not come while
+    they were tried: all are moved as late as the promised share asks for.
     """
-    if is_under_way and progress < CANARY_UNTIL:
-        return False
-    return position < share_of_target(progress, canary_share)
+
+    canary_share: float
+
+    @property
+    def all_moved_at(self) -> float:
+        """Return when no session is left on the old version."""
+        return 1 - END_PART * self.canary_share
+
+    @property
+    def move_begins_at(self) -> float:
+        """Return when more sessions than the first few begin to move."""
+        # On average half of the sessions have moved during the move.
+        return self.all_moved_at - 2 * MOVE_PART * self.canary_share
+
+    @property
+    def latest_end_at(self) -> float:
+        """Return when requests of the old version are waited for no more."""
+        return 1 - END_PART * (1 - LATEST_END_PART) * self.canary_share
+
+    def share_of_target(self, progress: float) -> float:
+        """Return the part of the sessions that get the new version."""
+        tried = TRIED_PART * self.canary_share
+        if progress < 0:
+            return 0
+        if progress < self.move_begins_at:
+            return tried
+        if progress >= self.all_moved_at:
+            return 1
+        moved = (progress - self.move_begins_at) / (
+            self.all_moved_at - self.move_begins_at
+        )
+        return max(tried, moved)
+
+    def is_moved(
+        self, position: float, progress: float, *, is_under_way: bool
+    ) -> bool:
+        """Tell whether a session gets the new version.
+
+        One that is under way on the old version stays there while the new
+        one is tried.
+        """
+        if is_under_way and progress < self.move_begins_at:
+            return False
+        return position < self.share_of_target(progress)
 
 
 def position_of(session: str) -> float:
--- a/marigoldhoist/components/canary/status_writer.py
+++ b/marigoldhoist/components/canary/status_writer.py
@@ -10,8 +10,6 @@
 from collections.abc import Callable, Iterator, Mapping
 
 from marigoldhoist.components.canary.const import (
-    COMPLETE_AT,
-    COMPLETE_LATEST_AT,
     STATUS_PAUSE_S,
     TICK_S,
     WRITE_SPREAD_S,
@@ -25,6 +23,7 @@
     RollOutState,
     RollOutStatus,
 )
+from marigoldhoist.components.canary.shares import MovePlan
 from marigoldhoist.components.directory.service import DirectoryService
 from marigoldhoist.components.feeds.errors import (
     ConditionFailedError,
@@ -45,11 +44,13 @@
     def __init__(
         self,
         roll_out_by_service: Mapping[str, RollOut],
+        plan: MovePlan,
         directory: DirectoryService,
         feeds: FeedService,
         encode: EncodeStatus,
     ) -> None:
         self._roll_out_by_service = roll_out_by_service
+        self._plan = plan
         self._directory = directory
         self._feeds = feeds
         self._encode = encode
@@ -64,7 +65,9 @@
 
     async def _move_on(self, roll_out: RollOut) -> None:
         wanted = wanted_state(
-            roll_out, has_old_work=self._has_old_work(roll_out)
+            roll_out,
+            self._plan,
+            has_old_work=self._has_old_work(roll_out),
         )
         if wanted is not roll_out.state:
             await self._store(roll_out, wanted)
@@ -112,13 +115,15 @@
         await self._feeds.store.append(Topic.STATUS, key, record, end)
 
 
-def wanted_state(roll_out: RollOut, *, has_old_work: bool) -> RollOutState:
+def wanted_state(
+    roll_out: RollOut, plan: MovePlan, *, has_old_work: bool
+) -> RollOutState:
     """Return the state that a roll-out should have now."""
     progress = roll_out.progress(SYSTEM_CLOCK.boottime_s())
     if roll_out.is_held:
         return RollOutState.ROLLED_BACK
-    is_over = progress > COMPLETE_AT and not has_old_work
-    if is_over or progress > COMPLETE_LATEST_AT:
+    is_over = progress > plan.all_moved_at and not has_old_work
+    if is_over or progress > plan.latest_end_at:
         return RollOutState.COMPLETED
     if roll_out.state is RollOutState.ORDERED:
         return RollOutState.RUNNING
--- a/marigoldhoist/components/feeds/feed.py
+++ b/marigoldhoist/components/feeds/feed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -51,14 +52,16 @@
 class FeedNews:
     """What one read told.
 
-    `sent_s` is the boot time before which every change is known; `is_whole`
-    tells that the records are the newest of all keys, so that keys not named
-    are gone.
+    `sent_s` is the boot time before which every change is known, `before_s`
+    that of the read before, infinitely long ago for none; `is_whole` tells
+    that the records are the newest of all keys, so that keys not named are
+    gone.
     """
 
     batch: Batch
     sent_s: float
     is_whole: bool
+    before_s: float = -math.inf
 
 
 class Feed:
@@ -81,9 +84,9 @@
         self._count = count
         self._clock = clock
         self._mirror = TopicMirror()
-        self._proved_s = float('-inf')
+        self._proved_s = -math.inf
         self._lost_s: float | None = None
-        self._regained_s = float('-inf')
+        self._regained_s = -math.inf
         self._pause_s = FIRST_PAUSE_S
         self._reason = ''
 
@@ -153,9 +156,10 @@
         sent_s = self._clock.boottime_s()
         found = await source.read(self._plan.topic, self.end, self._plan.wait_s)
         proved_s = sent_s - found.age_s
+        before_s = self._proved_s
         self._proved_s = max(self._proved_s, proved_s)
         self._mirror.take(found.batch, is_whole=found.is_whole)
-        self._tell(FeedNews(found.batch, proved_s, found.is_whole))
+        self._tell(FeedNews(found.batch, proved_s, found.is_whole, before_s))
         return found.age_s
 
     def _note_lost(self) -> None:
--- a/marigoldhoist/components/gateway/attempts.py
+++ b/marigoldhoist/components/gateway/attempts.py
@@ -14,6 +14,7 @@
 from marigoldhoist.components.gateway.desk import Desk, RefusedError
 from marigoldhoist.components.gateway.errors import AttemptError
 from marigoldhoist.components.gateway.events import (
+    ANSWER_FAILED,
     ATTEMPT_FAILED,
     REQUEST_SENT,
     STREAM_RESUMED,
@@ -87,6 +88,13 @@
         if is_failure:
             replica.note_failure(now_s)
             progress.verdict = Verdict.RAN
+            progress.note(
+                ANSWER_FAILED,
+                replica=replica.host,
+                version=replica.entry.version,
+                status=answer.head.status,
+                sends=progress.sends,
+            )
         else:
             replica.note_success(now_s)
             if prompt is not None:
--- a/marigoldhoist/components/gateway/events.py
+++ b/marigoldhoist/components/gateway/events.py
@@ -23,6 +23,13 @@
 CALLER_LEFT = declare_event(
     3804, 'caller_left', 'info', 'A caller left before its answer was whole.'
 )
+ANSWER_FAILED = declare_event(
+    3816,
+    'answer_failed',
+    'info',
+    'A replica answered that it failed; it is passed on unless another try is'
+    ' allowed.',
+)
 ATTEMPT_FAILED = declare_event(
     3805,
     'attempt_failed',
--- a/marigoldhoist/platform/translators.py
+++ b/marigoldhoist/platform/translators.py
@@ -8,6 +8,7 @@
 from marigoldhoist.components.feeds.feed import FeedNews
 from marigoldhoist.components.feeds.models import KeyedRecord, Topic
 from marigoldhoist.components.feeds.service import FeedService
+from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.events import emit
 from marigoldhoist.platform.const import (
     CONFIGURATION_KEY,
@@ -35,16 +36,18 @@
         """Take what one read found."""
         for record in news.batch.records:
             if record.value is not None:
-                self._take(record, record.value)
+                self._take(record, record.value, news.before_s)
         if self._configuration.current is not None:
             self._configuration.confirm(news.sent_s)
 
-    def _take(self, record: KeyedRecord, raw: bytes) -> None:
+    def _take(self, record: KeyedRecord, raw: bytes, before_s: float) -> None:
         try:
             if record.key == CONFIGURATION_KEY:
                 self._configuration.adopt(read_configuration(raw))
             elif record.key.startswith(ROLL_OUT_KEY_PREFIX):
-                self._canary.take_order(read_order(raw, record.offset))
+                unseen_s = SYSTEM_CLOCK.boottime_s() - before_s
+                order = read_order(raw, record.offset)
+                self._canary.take_order(order, unseen_s)
         except msgspec.DecodeError as error:
             _note_unreadable(record, str(error))
 
