Say in each line of the log what decided, and how old it was

Cause: lines on replicas, readers, attempts and roll-outs lacked the replica, the reason or the age, and a request that got no other try did not say why. A test reads every place that logs and holds it against the fields of its event.

--- a/marigoldhoist/components/canary/service.py
+++ b/marigoldhoist/components/canary/service.py
@@ -108,12 +108,16 @@
             return
         if roll_out.state.is_final or roll_out.state is status.state:
             return
+        before = roll_out.state
         roll_out.state = status.state
+        progress = roll_out.progress(SYSTEM_CLOCK.boottime_s())
         emit(
             ROLL_OUT_MOVED,
             service=status.service,
             target=status.target,
             state=status.state.value,
+            before=before.value,
+            progress=round(progress, 3),
         )
 
     def versions(self, service: str, session: str) -> tuple[str, ...]:
--- a/marigoldhoist/components/configuration/service.py
+++ b/marigoldhoist/components/configuration/service.py
@@ -61,6 +61,7 @@
             version=configuration.version,
             before=known.version if known else None,
             keys=len(configuration.workspace_by_key),
+            routes=sum(map(len, configuration.routes_by_authority.values())),
         )
 
     def confirm(self, sent_s: float) -> None:
--- a/marigoldhoist/components/directory/service.py
+++ b/marigoldhoist/components/directory/service.py
@@ -55,13 +55,14 @@
         if known is not None:
             self._drop(known)
         self.replica_by_host[entry.host] = Replica(entry)
-        event = REPLICA_LEAVING if entry.is_draining else REPLICA_FOUND
         emit(
-            event,
+            REPLICA_LEAVING if entry.is_draining else REPLICA_FOUND,
             replica=entry.host,
             service=entry.service,
             version=entry.version,
             failure_domain=entry.failure_domain,
+            in_flight=0,
+            known_for_s=0,
         )
 
     def remove(self, host: str, store_sound_for_s: float) -> None:
@@ -74,7 +75,7 @@
             self._lapse(known, grace_s)
             return
         self._drop(known)
-        emit(REPLICA_GONE, replica=host, service=known.entry.service)
+        self._note_gone(known, 'its entry was removed')
 
     def keep_only(self, hosts: Iterable[str], store_sound_for_s: float) -> None:
         """Take every replica as gone that is not among the hosts."""
@@ -84,17 +85,23 @@
     def drop_lapsed(self) -> None:
         """Take replicas as gone whose entry did not come back in time."""
         now_s = self._clock.boottime_s()
-        for host, replica in tuple(self.replica_by_host.items()):
+        for replica in tuple(self.replica_by_host.values()):
             if now_s >= replica.usable_until_s:
                 self._drop(replica)
-                emit(REPLICA_GONE, replica=host, service=replica.entry.service)
+                self._note_gone(replica, 'its entry did not come back')
 
     def suspect(self, replica: Replica, reason: str) -> None:
         """Avoid a replica for a while."""
         now_s = self._clock.boottime_s()
         replica.note_failure(now_s)
         if now_s >= replica.suspected_until_s:
-            emit(REPLICA_SUSPECTED, replica=replica.host, reason=reason)
+            emit(
+                REPLICA_SUSPECTED,
+                replica=replica.host,
+                reason=reason,
+                failures=round(replica.failures(now_s), 3),
+                for_s=replica.suspect_s,
+            )
             replica.suspected_until_s = now_s + replica.suspect_s
             replica.suspect_s = min(
                 LONGEST_SUSPECT_S, replica.suspect_s * SUSPECT_GROWTH
@@ -105,11 +112,22 @@
         if replica.is_gone:
             return
         self._drop(replica)
-        emit(REPLICA_REPLACED, replica=replica.host)
+        emit(
+            REPLICA_REPLACED,
+            replica=replica.host,
+            address=replica.entry.address,
+            known_for_s=self._known_for_s(replica),
+        )
 
     def _renew(self, known: Replica, entry: ReplicaEntry) -> None:
         if entry.is_draining and not known.entry.is_draining:
-            emit(REPLICA_LEAVING, replica=entry.host, service=entry.service)
+            emit(
+                REPLICA_LEAVING,
+                replica=entry.host,
+                service=entry.service,
+                in_flight=known.in_flight,
+                known_for_s=self._known_for_s(known),
+            )
         known.entry = entry
         known.usable_until_s = float('inf')
 
@@ -118,6 +136,19 @@
         known.usable_until_s = min(known.usable_until_s, until_s)
         emit(REPLICA_LAPSED, replica=known.host, usable_for_s=round(grace_s, 3))
 
+    def _note_gone(self, replica: Replica, reason: str) -> None:
+        emit(
+            REPLICA_GONE,
+            replica=replica.host,
+            service=replica.entry.service,
+            reason=reason,
+            in_flight=replica.in_flight,
+            known_for_s=self._known_for_s(replica),
+        )
+
+    def _known_for_s(self, replica: Replica) -> float:
+        return round(self._clock.boottime_s() - replica.first_seen_s, 3)
+
     def _drop(self, replica: Replica) -> None:
         replica.is_gone = True
         self.replica_by_host.pop(replica.host, None)
--- a/marigoldhoist/components/feeds/feed.py
+++ b/marigoldhoist/components/feeds/feed.py
@@ -160,9 +160,14 @@
         try:
             found = await self._read_from(source)
         except HistoryLostError:
+            emit(
+                TOPIC_READ_ANEW,
+                topic=self._plan.topic.value,
+                end=self.end,
+                age_s=round(self.age_s, 3),
+            )
             self._mirror.forget_end()
             self._count('history_lost')
-            emit(TOPIC_READ_ANEW, topic=self._plan.topic.value)
             return _Worth.ENOUGH
         except StoreUnavailableError as error:
             self._count('failed')
--- a/marigoldhoist/components/gateway/attempts.py
+++ b/marigoldhoist/components/gateway/attempts.py
@@ -16,6 +16,7 @@
 from marigoldhoist.components.gateway.events import (
     ANSWER_FAILED,
     ATTEMPT_FAILED,
+    NOT_SENT_AGAIN,
     REQUEST_SENT,
     STREAM_RESUMED,
 )
@@ -137,6 +138,7 @@
             progress.verdict = error.verdict
         progress.note(
             ATTEMPT_FAILED,
+            replica=progress.asked,
             reason=error.reason,
             verdict=error.verdict.value,
             sends=progress.sends,
@@ -161,11 +163,23 @@
 
     def may_send_again(self, route: Route) -> bool:
         """Tell whether another send is allowed, and count it if so."""
-        return (
-            self._progress.sends < route.max_attempts
-            and self._progress.left_s > MIN_SEND_S
-            and self._desk.repeats.try_take(self._progress.service)
-        )
+        progress = self._progress
+        obstacle = ''
+        if progress.sends >= route.max_attempts:
+            obstacle = 'the route allows no more'
+        elif progress.left_s <= MIN_SEND_S:
+            obstacle = 'no time is left'
+        elif not self._desk.repeats.try_take(progress.service):
+            obstacle = 'the budget of repeats is spent'
+        if obstacle:
+            progress.note(
+                NOT_SENT_AGAIN,
+                reason=obstacle,
+                sends=progress.sends,
+                left_s=round(progress.left_s, 3),
+                budget_left=self._desk.repeats.left(progress.service),
+            )
+        return not obstacle
 
     def time_is_up(self) -> RequestFailure:
         """Return the final answer of a call whose time has passed."""
--- a/marigoldhoist/components/gateway/events.py
+++ b/marigoldhoist/components/gateway/events.py
@@ -30,6 +30,12 @@
     'A replica answered that it failed; it is passed on unless another try is'
     ' allowed.',
 )
+NOT_SENT_AGAIN = declare_event(
+    3817,
+    'not_sent_again',
+    'info',
+    'A request that failed at a replica gets no other try.',
+)
 ATTEMPT_FAILED = declare_event(
     3805,
     'attempt_failed',
--- a/marigoldhoist/components/gateway/exchange.py
+++ b/marigoldhoist/components/gateway/exchange.py
@@ -133,7 +133,11 @@
     def _note_left(self) -> None:
         progress = self._progress
         progress.note(
-            CALLER_LEFT, sends=progress.sends, events=progress.last_event
+            CALLER_LEFT,
+            replica=progress.asked,
+            sends=progress.sends,
+            events=progress.last_event,
+            left_s=round(progress.left_s, 3),
         )
         progress.log.end_failed()
         self._count('left', '')
--- a/marigoldhoist/components/gateway/repeats.py
+++ b/marigoldhoist/components/gateway/repeats.py
@@ -36,6 +36,10 @@
         now_s = SYSTEM_CLOCK.boottime_s()
         return self._window(service).try_take(now_s, RESERVED_PART)
 
+    def left(self, service: str) -> int:
+        """Return how many repeats the service's budget allows now."""
+        return self._window(service).left(SYSTEM_CLOCK.boottime_s())
+
     def _window(self, service: str) -> RepeatWindow:
         window = self._window_by_service.get(service)
         if window is None:
--- a/marigoldhoist/components/gateway/stream_delivery.py
+++ b/marigoldhoist/components/gateway/stream_delivery.py
@@ -124,6 +124,7 @@
         progress.note(
             MODEL_RAISED,
             confidence=answer.signs.confidence,
+            left_s=round(doubt.left_s, 3),
             load=round(doubt.load, 3),
             expected_s=self._expected_s(larger),
             asked=progress.model,
--- a/marigoldhoist/components/mirrors/members.py
+++ b/marigoldhoist/components/mirrors/members.py
@@ -48,7 +48,11 @@
         for host, member in tuple(self.member_by_host.items()):
             if now_s - member.heard_s > FORGET_S:
                 self.member_by_host.pop(host)
-                emit(PEER_FORGOTTEN, peer=host)
+                emit(
+                    PEER_FORGOTTEN,
+                    peer=host,
+                    heard_age_s=round(now_s - member.heard_s, 3),
+                )
 
     def note_failed(self, member: Member, reason: str) -> None:
         """Avoid a daemon for a while."""
@@ -63,7 +67,11 @@
     def note_relaying(self, member: Member) -> None:
         """Pass over a reader that has its news from others, for a while."""
         member.avoided_until_s = self._clock() + AVOID_S
-        emit(READER_RELAYS, peer=member.host)
+        emit(
+            READER_RELAYS,
+            peer=member.host,
+            heard_age_s=round(self._clock() - member.heard_s, 3),
+        )
 
     def note_answered(self, member: Member) -> None:
         """Note that a daemon answered."""
--- a/marigoldhoist/components/retries/window.py
+++ b/marigoldhoist/components/retries/window.py
@@ -34,6 +34,11 @@
         self._repeats.append(now_s)
         return True
 
+    def left(self, now_s: float) -> int:
+        """Return how many repeats are allowed now."""
+        self._forget(now_s)
+        return max(0, self._allowed(1) - len(self._repeats))
+
     def _allowed(self, part: float) -> int:
         return self._floor + int(part * self._ratio * len(self._requests))
 
--- a/marigoldhoist/platform/daemon.py
+++ b/marigoldhoist/platform/daemon.py
@@ -10,6 +10,7 @@
 from marigoldhoist.components.gateway.service import GatewayService
 from marigoldhoist.components.mirrors.const import COMPONENT as MIRRORS
 from marigoldhoist.components.mirrors.service import MirrorService
+from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.deployments import GATEWAY
 from marigoldhoist.core.errors import SettingsError
 from marigoldhoist.core.events import configure_logs, emit
@@ -42,6 +43,7 @@
 
     async def run(self) -> None:
         """Serve until told to stop, then stop without cuts."""
+        started_s = SYSTEM_CLOCK.boottime_s()
         emit(DAEMON_STARTED, version=__version__, settings=str(self._path))
         loop = asyncio.get_running_loop()
         for told in (signal.SIGTERM, signal.SIGINT):
@@ -56,7 +58,8 @@
         await self._told_to_stop.wait()
         await gateway.stop_gracefully()
         kernel.stop()
-        emit(DAEMON_STOPPED)
+        ran_s = SYSTEM_CLOCK.boottime_s() - started_s
+        emit(DAEMON_STOPPED, ran_s=round(ran_s, 3))
 
     def _reload(self) -> None:
         """Read the settings again; they are applied at the next start."""
--- /dev/null
+++ b/tests/test_log_lines.py
@@ -0,0 +1,77 @@
+"""Each line of the log has what decided, its age or version, the outcome."""
+
+from typing import Final
+
+import pytest
+
+from tests.log_lines import LogLine, log_lines
+
+REQUEST: Final = frozenset(('request_id', 'route', 'elapsed_s'))
+# The fields of each event: what it is about, what decided, how old that was.
+FIELDS_BY_EVENT: Final = {
+    'REQUEST_SENT': REQUEST
+    | {'replica', 'version', 'session', 'model', 'tokens_in', 'sends'}
+    | {'own_in_flight', 'counted_in_flight', 'count_age_s', 'left_s'},
+    'REQUEST_ENDED': REQUEST
+    | {'replica', 'model', 'sends', 'events', 'first_s'},
+    'REQUEST_FAILED': REQUEST
+    | {'code', 'reason', 'verdict', 'sends', 'status', 'retry_after_s', 'path'}
+    | {'configuration', 'configuration_age_s'},
+    'REQUEST_BROKEN_OFF': REQUEST
+    | {'code', 'reason', 'verdict', 'sends', 'status', 'path'}
+    | {'configuration', 'configuration_age_s'},
+    'CALLER_LEFT': REQUEST | {'replica', 'sends', 'events', 'left_s'},
+    'ANSWER_FAILED': REQUEST | {'replica', 'version', 'status', 'sends'},
+    'ATTEMPT_FAILED': REQUEST | {'replica', 'reason', 'verdict', 'sends'},
+    'NOT_SENT_AGAIN': REQUEST | {'reason', 'sends', 'left_s', 'budget_left'},
+    'STREAM_RESUMED': REQUEST | {'replica', 'after_event'},
+    'MODEL_RAISED': REQUEST
+    | {'asked', 'larger', 'confidence', 'load', 'expected_s', 'left_s'},
+    'ANSWER_PASSED_OVER': {'request_id', 'came_for'},
+    'CALLER_MALFORMED': {'reason'},
+    'GATEWAY_LISTENING': {'callers'},
+    'STOP_BEGUN': {'open', 'serving'},
+    'STOP_ENDED': {'cut'},
+    'READINESS_CHANGED': {'is_ready', 'configuration_age_s', 'replicas'},
+    'ROLL_OUT_ORDERED': {'service', 'target', 'allowed_s', 'unseen_s'},
+    'ROLL_OUT_MOVED': {'service', 'target', 'state', 'before', 'progress'},
+    'VERSION_FOUND_BAD': {'service', 'version', 'reason', 'progress'}
+    | {'other_daemons'},
+    'EVIDENCE_PASSED_OVER': {'reason'},
+    'STATUS_WRITTEN': {'service', 'target', 'state', 'expected_end'},
+    'STATUS_NOT_WRITTEN': {'service', 'target', 'state', 'expected_end'}
+    | {'reason'},
+    'STORE_LOST': {'topic', 'reason', 'age_s'},
+    'STORE_REGAINED': {'topic', 'lost_for_s'},
+    'TOPIC_READ_ANEW': {'topic', 'end', 'age_s'},
+    'PEER_FOUND': {'peer', 'address', 'failure_domain', 'heard_age_s'},
+    'PEER_FORGOTTEN': {'peer', 'heard_age_s'},
+    'PEER_FAILED': {'peer', 'reason', 'heard_age_s'},
+    'READER_CHANGED': {'is_reader', 'members'},
+    'READER_RELAYS': {'peer', 'heard_age_s'},
+    'REPLICA_FOUND': {'replica', 'service', 'version', 'failure_domain'},
+    'REPLICA_LEAVING': {'replica', 'service', 'in_flight', 'known_for_s'},
+    'REPLICA_GONE': {'replica', 'service', 'reason', 'known_for_s'},
+    'REPLICA_LAPSED': {'replica', 'usable_for_s'},
+    'REPLICA_SUSPECTED': {'replica', 'reason', 'failures', 'for_s'},
+    'REPLICA_REPLACED': {'replica', 'address', 'known_for_s'},
+    'CONFIGURATION_ADOPTED': {'version', 'before', 'keys', 'routes'},
+    'OLDER_CONFIGURATION_PASSED_OVER': {'version', 'in_force'},
+    'RECORD_UNREADABLE': {'key', 'offset', 'reason'},
+    'DAEMON_STARTED': {'version', 'settings'},
+    'DAEMON_STOPPED': {'ran_s'},
+    'SETTINGS_RELOADED': {'settings'},
+    'SETTINGS_REJECTED': {'error'},
+}
+LINES: Final = tuple(log_lines())
+
+
+class TestLogLines:
+    """Every place in the gateway deployment that logs."""
+
+    @pytest.mark.parametrize('line', LINES, ids=lambda line: line.place)
+    def test_has_the_fields_of_its_event(self, line: LogLine) -> None:
+        assert not FIELDS_BY_EVENT[line.event] - line.fields
+
+    def test_every_event_is_logged_somewhere(self) -> None:
+        assert FIELDS_BY_EVENT.keys() == {line.event for line in LINES}
