Tell other daemons which sessions are under way before a version is tried

Daemons tell each other of the few sessions that matter, and sessions try the new version 3 s after the order.

--- a/marigoldhoist/components/canary/const.py
+++ b/marigoldhoist/components/canary/const.py
@@ -9,13 +9,20 @@
 # the sessions that try it, to the move of all others, and to the time that is
 # left to store the end; the rest is for requests that arrive unevenly, and for
 # streams that the old replicas break off when they stop at the end.
-TRIED_PART: Final = 0.25
-MOVE_PART: Final = 0.15
-END_PART: Final = 0.35
+TRIED_PART: Final = 0.45
+MOVE_PART: Final = 0.1
+END_PART: Final = 0.25
 # In-flight requests of the old version may hold the end up for this part of
 # the time that is left then.
 LATEST_END_PART: Final = 0.15
 
+# Daemons tell each other for this long which sessions are under way before any
+# session tries a new version, but for no more than this part of the time.
+TELL_S: Final = 3.0
+TELL_PART: Final = 0.25
+# Sessions that one daemon tells others of, at most.
+MOST_TOLD: Final = 256
+
 # Reads follow each other within this time, and an order is seen as it comes.
 # One that was seen after a longer gap is taken to be as old as the excess, and
 # no older than the longest age.
--- a/marigoldhoist/components/canary/evidence.py
+++ b/marigoldhoist/components/canary/evidence.py
@@ -120,10 +120,15 @@
 
 
 class DaemonEvidence(msgspec.Struct, frozen=True, array_like=True):
-    """A daemon's evidence, and how long it has known of the roll-out."""
+    """A daemon's evidence, and how long it has known of the roll-out.
+
+    `under_way` has the positions of sessions that are under way on another
+    version, of those that would try the new one.
+    """
 
     known_for_s: float
     evidence: Evidence
+    under_way: list[float] = []
 
 
 def pooled(evidences: Iterable[Evidence]) -> Evidence:
--- a/marigoldhoist/components/canary/models.py
+++ b/marigoldhoist/components/canary/models.py
@@ -7,6 +7,8 @@
 from marigoldhoist.components.canary.const import (
     LONGEST_ORDER_AGE_S,
     ORDINARY_GAP_S,
+    TELL_PART,
+    TELL_S,
 )
 
 
@@ -70,6 +72,12 @@
         return (now_s - self.seen_s) / max(1, self.order.allowed_s)
 
 
+def is_told(roll_out: RollOut, now_s: float) -> bool:
+    """Tell whether daemons have had time to tell of sessions under way."""
+    tell_s = min(TELL_S, TELL_PART * roll_out.order.allowed_s)
+    return now_s - roll_out.seen_s >= tell_s
+
+
 def begun(order: RollOutOrder, now_s: float, unseen_s: float) -> RollOut:
     """Return a roll-out that was ordered within the seconds before now.
 
--- a/marigoldhoist/components/canary/service.py
+++ b/marigoldhoist/components/canary/service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from marigoldhoist.components.canary.const import (
     STATUS_PAUSE_S,
@@ -19,6 +19,7 @@
     RollOutState,
     RollOutStatus,
     begun,
+    is_told,
 )
 from marigoldhoist.components.canary.shares import (
     MovePlan,
@@ -53,7 +54,9 @@
         self._promises = kernel.settings.section(PromiseSettings)
         self._directory = kernel.find(DIRECTORY, DirectoryService)
         self._feeds = kernel.find(FEEDS, FeedService)
-        self._verdicts = Verdicts(kernel.find(MIRRORS, MirrorService).findings)
+        self._verdicts = Verdicts(
+            kernel.find(MIRRORS, MirrorService).findings, self._find_under_way
+        )
         self._sessions = SessionMemory(self._promises.session_gap_ms / MS_PER_S)
         self._plan = MovePlan(self._promises.canary_share)
         self._tell_status: Callable[[FeedNews], None] | None = None
@@ -163,9 +166,21 @@
         known = self._sessions.version_of(session, now_s) if session else ''
         if known == roll_out.order.target:
             return True
+        if session and not is_told(roll_out, now_s):
+            return False
         position = position_of(session) if session else random.random()
+        service = roll_out.order.service
         return self._plan.is_moved(
-            position, roll_out.progress(now_s), is_under_way=bool(known)
+            position,
+            roll_out.progress(now_s),
+            is_under_way=bool(known)
+            or self._verdicts.is_under_way(service, position),
+        )
+
+    def _find_under_way(self, target: str) -> Iterator[float]:
+        """Yield sessions under way that would try the target otherwise."""
+        return self._sessions.under_way(
+            self._plan.tried_share, target, SYSTEM_CLOCK.boottime_s()
         )
 
     def _follow_status(self) -> None:
--- a/marigoldhoist/components/canary/shares.py
+++ b/marigoldhoist/components/canary/shares.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Iterator
 from typing import Final
 
 import xxhash
@@ -28,6 +29,7 @@
 
     version: str
     used_s: float
+    position: float
 
 
 class SessionMemory:
@@ -41,11 +43,22 @@
 
     def note(self, session: str, version: str, now_s: float) -> None:
         """Note that a session uses a version now."""
-        self._use_by_session[session] = SessionUse(version, now_s)
+        known = self._use_by_session.get(session)
+        position = known.position if known else position_of(session)
+        self._use_by_session[session] = SessionUse(version, now_s, position)
         self._use_by_session.move_to_end(session)
         while len(self._use_by_session) > REMEMBERED_SESSIONS:
             self._use_by_session.popitem(last=False)
 
+    def under_way(
+        self, below: float, target: str, now_s: float
+    ) -> Iterator[float]:
+        """Yield the positions below that of sessions on other versions."""
+        for use in self._use_by_session.values():
+            is_in_use = now_s - use.used_s <= self._gap_s
+            if use.position < below and use.version != target and is_in_use:
+                yield use.position
+
     def version_of(self, session: str, now_s: float) -> str:
         """Return the version of a session under way, empty for none."""
         use = self._use_by_session.get(session)
@@ -64,6 +77,11 @@
 
     canary_share: float
 
+    @property
+    def tried_share(self) -> float:
+        """Return the part of the sessions that try the new version."""
+        return TRIED_PART * self.canary_share
+
     @property
     def all_moved_at(self) -> float:
         """Return when no session is left on the old version."""
@@ -82,17 +100,16 @@
 
     def share_of_target(self, progress: float) -> float:
         """Return the part of the sessions that get the new version."""
-        tried = TRIED_PART * self.canary_share
         if progress < 0:
             return 0
         if progress < self.move_begins_at:
-            return tried
+            return self.tried_share
         if progress >= self.all_moved_at:
             return 1
         moved = (progress - self.move_begins_at) / (
             self.all_moved_at - self.move_begins_at
         )
-        return max(tried, moved)
+        return max(self.tried_share, moved)
 
     def is_moved(
         self, position: float, progress: float, *, is_under_way: bool
--- a/marigoldhoist/components/canary/verdicts.py
+++ b/marigoldhoist/components/canary/verdicts.py
@@ -1,11 +1,13 @@
 """Judge new versions together with the other daemons."""
 
 import collections
-from collections.abc import Iterator
-from typing import Final
+import itertools
+from collections.abc import Callable, Iterable, Iterator
+from typing import Final, TypeAlias
 
 import msgspec
 
+from marigoldhoist.components.canary.const import MOST_TOLD
 from marigoldhoist.components.canary.events import (
     EVIDENCE_PASSED_OVER,
     VERSION_FOUND_BAD,
@@ -26,6 +28,11 @@
 OTHERS_FRESH_S: Final = 0.25
 
 
+# Returns the positions of sessions under way on versions other than the one
+# that is named.
+FindUnderWay: TypeAlias = Callable[[str], Iterable[float]]
+
+
 class _Trial:
     """One roll-out's version, by what this daemon and others have seen."""
 
@@ -34,9 +41,12 @@
         roll_out: RollOut,
         judge: VersionJudge,
         findings: Findings,
+        find_under_way: FindUnderWay,
         clock: SystemClock,
     ) -> None:
         self.roll_out = roll_out
+        self._find_under_way = find_under_way
+        self.under_way: set[float] = set()
         self._judge = judge
         self._findings = findings
         self._clock = clock
@@ -49,8 +59,10 @@
         if self.roll_out.state.is_final:
             return None
         known_for_s = self._clock.boottime_s() - self.roll_out.seen_s
+        self.under_way.update(self._find_under_way(self.roll_out.order.target))
+        told = itertools.islice(self.under_way, MOST_TOLD)
         return msgspec.msgpack.encode(
-            DaemonEvidence(known_for_s, self._judge.evidence())
+            DaemonEvidence(known_for_s, self._judge.evidence(), list(told))
         )
 
     def judge(self) -> None:
@@ -90,6 +102,7 @@
                 continue
             ordered_s = heard.found_s - told.known_for_s
             self.roll_out.seen_s = min(self.roll_out.seen_s, ordered_s)
+            self.under_way.update(told.under_way)
             yield told
 
 
@@ -97,9 +110,13 @@
     """The roll-outs under way, and the answers of all versions."""
 
     def __init__(
-        self, findings: Findings, clock: SystemClock = SYSTEM_CLOCK
+        self,
+        findings: Findings,
+        find_under_way: FindUnderWay,
+        clock: SystemClock = SYSTEM_CLOCK,
     ) -> None:
         self._findings = findings
+        self._find_under_way = find_under_way
         self._clock = clock
         self._judge_by_service: collections.defaultdict[str, VersionJudge] = (
             collections.defaultdict(lambda: VersionJudge(clock.boottime_s))
@@ -115,11 +132,18 @@
             self._findings.withdraw(earlier.roll_out.order.subject)
         judge = self._judge_by_service[order.service]
         judge.begin(order.target)
-        trial = _Trial(roll_out, judge, self._findings, self._clock)
+        trial = _Trial(
+            roll_out, judge, self._findings, self._find_under_way, self._clock
+        )
         self._trial_by_service[order.service] = trial
         self._findings.share(order.subject, trial.found)
         trial.judge()
 
+    def is_under_way(self, service: str, position: float) -> bool:
+        """Tell whether a session is known to use another version."""
+        trial = self._trial_by_service.get(service)
+        return trial is not None and position in trial.under_way
+
     def note(self, service: str, version: str, answer: SeenAnswer) -> None:
         """Take in an answer; judge the version if it is being rolled out."""
         self._judge_by_service[service].note(version, answer)
