--- a/marigoldhoist/components/canary/models.py
+++ b/marigoldhoist/components/canary/models.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import enum
-import math
 
 from marigoldhoist.components.canary.const import (
     LONGEST_ORDER_AGE_S,
@@ -78,10 +77,10 @@
     return now_s - roll_out.seen_s >= tell_s
 
 
-def begun(order: RollOutOrder, now_s: float, unseen_s: float) -> RollOut:
+def begun(order: RollOutOrder, now_s: float, unseen_s: float | None) -> RollOut:
     """Return a roll-out that was ordered within the seconds before now.
 
-    An infinite time tells that nothing was known before.
+    None tells that nothing was known before.
     """
-    age_s = 0 if math.isinf(unseen_s) else max(0, unseen_s - ORDINARY_GAP_S)
-    return RollOut(order, now_s - min(age_s, LONGEST_ORDER_AGE_S))
+    excess_s = max(0, (unseen_s or 0) - ORDINARY_GAP_S)
+    return RollOut(order, now_s - min(excess_s, LONGEST_ORDER_AGE_S))
--- a/marigoldhoist/components/canary/service.py
+++ b/marigoldhoist/components/canary/service.py
@@ -82,11 +82,11 @@
         if self._writer is not None:
             self._writer.cancel()
 
-    def take_order(self, order: RollOutOrder, unseen_s: float) -> None:
+    def take_order(self, order: RollOutOrder, unseen_s: float | None) -> None:
         """Take the operator's newest order for a service.
 
         It may have been given at any time in the seconds `unseen_s` before
-        now, infinite where nothing was known before.
+        now, none where nothing was known before.
         """
         known = self.roll_out_by_service.get(order.service)
         if known is not None and known.order == order:
@@ -100,7 +100,7 @@
             service=order.service,
             target=order.target,
             allowed_s=order.allowed_s,
-            unseen_s=round(unseen_s, 3),
+            unseen_s=unseen_s,
         )
         self._follow_status()
 
--- a/marigoldhoist/components/feeds/feed.py
+++ b/marigoldhoist/components/feeds/feed.py
@@ -114,6 +114,11 @@
         """Return the seconds since what was read was known to be newest."""
         return self._clock.boottime_s() - self._proved_s
 
+    @property
+    def _known_age_s(self) -> float | None:
+        """Return the age for the log, none before the first read."""
+        return None if math.isinf(self.age_s) else round(self.age_s, 3)
+
     @property
     def is_lost(self) -> bool:
         """Tell whether no source answered at the last read."""
@@ -164,7 +169,7 @@
                 TOPIC_READ_ANEW,
                 topic=self._plan.topic.value,
                 end=self.end,
-                age_s=round(self.age_s, 3),
+                age_s=self._known_age_s,
             )
             self._mirror.forget_end()
             self._count('history_lost')
@@ -199,7 +204,7 @@
             STORE_LOST,
             topic=self._plan.topic.value,
             reason=self._reason,
-            age_s=round(self.age_s, 3),
+            age_s=self._known_age_s,
         )
 
     def _note_sound(self) -> None:
--- a/marigoldhoist/platform/translators.py
+++ b/marigoldhoist/platform/translators.py
@@ -1,5 +1,7 @@
 """Hand what the store's topics hold to the product's services."""
 
+import math
+
 import msgspec
 
 from marigoldhoist.components.canary.service import CanaryService
@@ -45,9 +47,8 @@
             if record.key == CONFIGURATION_KEY:
                 self._configuration.adopt(read_configuration(raw))
             elif record.key.startswith(ROLL_OUT_KEY_PREFIX):
-                unseen_s = SYSTEM_CLOCK.boottime_s() - before_s
                 order = read_order(raw, record.offset)
-                self._canary.take_order(order, unseen_s)
+                self._canary.take_order(order, _seconds_since(before_s))
         except msgspec.DecodeError as error:
             _note_unreadable(record, str(error))
 
@@ -94,6 +95,13 @@
                 self._canary.take_status(status)
 
 
+def _seconds_since(before_s: float) -> float | None:
+    """Return the seconds since a read, none where there was none."""
+    if math.isinf(before_s):
+        return None
+    return round(SYSTEM_CLOCK.boottime_s() - before_s, 3)
+
+
 def _note_unreadable(record: KeyedRecord, reason: str) -> None:
     emit(
         RECORD_UNREADABLE,
