Call what exists instead of writing it again

Cause: a read-through of the change. Splitting an address stood in six places beside split_address, which is in core now; the range of hashes in three; the expected time to a first event in two; pooling of counts by measure was written out beside pooled; the two rules for slow answers shared half of their conditions; avoiding a member stood twice. Members are sorted at each read of a feed, so each keeps its rank instead of hashing its name every time.

--- a/marigoldhoist/components/canary/evidence.py
+++ b/marigoldhoist/components/canary/evidence.py
@@ -4,7 +4,6 @@
 counts of several daemons are put together before they are judged.
 """
 
-import collections
 import dataclasses
 import enum
 from collections.abc import Iterable, Iterator, Mapping
@@ -100,10 +99,12 @@
         )
 
     @property
-    def is_slow_for_long(self) -> bool:
-        """Tell whether more than a moment lies between slow answers."""
+    def is_slower_than_others(self) -> bool:
+        """Tell whether it is slow more often, and for more than a moment."""
+        span_s = self.oldest_slow_age_s - self.newest_slow_age_s
         return (
-            self.oldest_slow_age_s - self.newest_slow_age_s >= LEAST_SLOW_SPAN_S
+            span_s >= LEAST_SLOW_SPAN_S
+            and self.slow > self.compared * self.slow_bound
         )
 
     @property
@@ -155,15 +156,17 @@
     if failures >= LEAST_FAILURES and _fails_more(started):
         answers = sum(one.answers for one in started)
         yield f'{failures} of {answers} answers failed'
-    for measure, found in _by_measure(evidence).items():
-        if _is_slow(found):
-            yield f'{found.slow} of {found.compared} answers slow ({measure})'
-    for one in evidence:
-        if _is_slow_work(one):
-            yield (
-                f'{one.slow} of {one.compared} answers slow'
-                f' ({one.work.measure.value}) on {one.work.kind}'
-            )
+    for found in filter(_is_slow, _by_measure(evidence)):
+        yield _slow_text(found)
+    for one in filter(_is_slow_work, evidence):
+        yield f'{_slow_text(one)} on {one.work.kind}'
+
+
+def _slow_text(found: WorkEvidence) -> str:
+    return (
+        f'{found.slow} of {found.compared} answers slow'
+        f' ({found.work.measure.value})'
+    )
 
 
 def _fails_more(started: Evidence) -> bool:
@@ -176,33 +179,22 @@
     )
 
 
-def _by_measure(evidence: Evidence) -> dict[str, WorkEvidence]:
+def _by_measure(evidence: Evidence) -> Evidence:
     """Return all kinds of work together, by what was measured."""
-    found_by_measure: dict[str, WorkEvidence] = {}
-    by_measure: dict[Measure, Evidence] = collections.defaultdict(list)
-    for one in evidence:
-        by_measure[one.work.measure].append(one)
-    for measure, found in by_measure.items():
-        total = msgspec.structs.replace(found[0])
-        for one in found[1:]:
-            total.add(one)
-        found_by_measure[measure.value] = total
-    return found_by_measure
+    return pooled(
+        [msgspec.structs.replace(one, work=Work('', one.work.measure))]
+        for one in evidence
+    )
 
 
 def _is_slow(found: WorkEvidence) -> bool:
     rule = SLOW_RULE_BY_MEASURE[found.work.measure]
-    return (
-        found.slow >= rule.least_answers
-        and found.is_slow_for_long
-        and found.slow > found.compared * found.slow_bound
-    )
+    return found.slow >= rule.least_answers and found.is_slower_than_others
 
 
 def _is_slow_work(found: WorkEvidence) -> bool:
     return (
         found.slow >= LEAST_SLOW_OF_WORK
-        and found.is_slow_for_long
         and found.slow >= found.compared * LEAST_SLOW_SHARE_OF_WORK
-        and found.slow > found.compared * found.slow_bound
+        and found.is_slower_than_others
     )
--- a/marigoldhoist/components/canary/shares.py
+++ b/marigoldhoist/components/canary/shares.py
@@ -8,7 +8,6 @@
 import collections
 import dataclasses
 from collections.abc import Iterator
-from typing import Final
 
 import xxhash
 
@@ -19,8 +18,7 @@
     REMEMBERED_SESSIONS,
     TRIED_PART,
 )
-
-HASH_RANGE: Final = 1 << 64
+from marigoldhoist.core.rendezvous import HASH_RANGE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/marigoldhoist/components/gateway/attempts.py
+++ b/marigoldhoist/components/gateway/attempts.py
@@ -74,7 +74,7 @@
             workspace.name if workspace else '',
             progress.model,
             progress.last_event,
-            self._expected_reading_s(),
+            self.expected_s(progress.model) or 0,
         )
         async with self._desk.sender.sent(
             progress.call,
@@ -181,6 +181,12 @@
             )
         return not obstacle
 
+    def expected_s(self, model: str) -> float | None:
+        """Return the seconds to the first event, none where unknown."""
+        prompt = self._progress.call.prompt
+        tokens = prompt.tokens_in if prompt else 0
+        return self._desk.picker.read_times.expected_s(model, tokens)
+
     def time_is_up(self) -> RequestFailure:
         """Return the final answer of a call whose time has passed."""
         if self._progress.sends:
@@ -197,15 +203,6 @@
     def _may_reach_another(self) -> bool:
         return len(self._progress.unreached) < MOST_UNREACHED
 
-    def _expected_reading_s(self) -> float:
-        prompt = self._progress.call.prompt
-        if prompt is None:
-            return 0
-        expected_s = self._desk.picker.read_times.expected_s(
-            self._progress.model, prompt.tokens_in
-        )
-        return expected_s or 0
-
     def _note_sent(self, replica: Replica) -> None:
         progress = self._progress
         progress.sends += 1
--- a/marigoldhoist/components/gateway/server.py
+++ b/marigoldhoist/components/gateway/server.py
@@ -7,7 +7,7 @@
 from marigoldhoist.components.configuration.models import CallerLimits
 from marigoldhoist.components.configuration.service import ConfigurationService
 from marigoldhoist.components.gateway.caller import CallerConnection, Serve
-from marigoldhoist.components.gateway.settings import split_address
+from marigoldhoist.core.identity import split_address
 
 # Connections that wait to be accepted.
 BACKLOG: Final = 512
--- a/marigoldhoist/components/gateway/settings.py
+++ b/marigoldhoist/components/gateway/settings.py
@@ -15,9 +15,3 @@
     readiness: HostAndPort = '127.0.0.1:8081'
     stop_grace_ms: Milliseconds = 8000
     metrics: HostAndPort | None = None
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return the host and the port."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
--- a/marigoldhoist/components/gateway/stream_delivery.py
+++ b/marigoldhoist/components/gateway/stream_delivery.py
@@ -97,11 +97,6 @@
         await self._caller.answer(answer.head, body)
         return True
 
-    def _expected_s(self, model: str) -> float | None:
-        prompt = self._progress.call.prompt
-        tokens = prompt.tokens_in if prompt else 0
-        return self._desk.picker.read_times.expected_s(model, tokens)
-
     def _raise_model(self, route: Route, answer: RunningAnswer) -> bool:
         """Tell whether a larger model is asked instead of this answer."""
         progress = self._progress
@@ -113,7 +108,7 @@
                 self._desk.directory.usable(progress.service)
             ),
             route.max_attempts - progress.sends,
-            self._expected_s,
+            self._attempts.expected_s,
         )
         larger = larger_model(route.models, progress.model, doubt)
         if not larger or not self._desk.repeats.try_take_spare(
@@ -126,7 +121,7 @@
             confidence=answer.signs.confidence,
             left_s=round(doubt.left_s, 3),
             load=round(doubt.load, 3),
-            expected_s=self._expected_s(larger),
+            expected_s=self._attempts.expected_s(larger),
             asked=progress.model,
             larger=larger,
         )
--- a/marigoldhoist/components/mirrors/findings.py
+++ b/marigoldhoist/components/mirrors/findings.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 import itertools
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from typing import Final, TypeAlias
 
 import msgspec
@@ -20,7 +20,6 @@
 # A finding that was not renewed for this long is forgotten.
 FINDING_LIFE_S: Final = 60.0
 
-
 # Returns what is found now, none where there is nothing to tell any more.
 Find: TypeAlias = Callable[[], bytes | None]
 
@@ -83,7 +82,14 @@
 
     def own(self) -> list[Finding]:
         """Return what this daemon finds now."""
-        return list(self._own())
+        found_by_subject = {
+            subject: find() for subject, find in self._own_by_subject.items()
+        }
+        return [
+            Finding(self._host, self._start_number, subject, found, 0)
+            for subject, found in found_by_subject.items()
+            if found is not None
+        ]
 
     def all(self) -> list[Finding]:
         """Return what this daemon finds, and the newest that it has heard."""
@@ -93,8 +99,8 @@
         newest = sorted(
             self._kept_by_key.items(), key=lambda item: -item[1].found_s
         )
-        told = itertools.chain(self._own(), map(self._as_finding, newest))
-        return list(itertools.islice(told, MOST_FINDINGS))
+        told = [*self.own(), *map(self._as_finding, newest)]
+        return told[:MOST_FINDINGS]
 
     def along_with(self, topic: str) -> list[Finding]:
         """Return what to tell along with a read of a topic, or with none.
@@ -117,12 +123,6 @@
         for subject, tell in itertools.product(sorted(subjects), self._tell):
             tell(subject)
 
-    def _own(self) -> Iterator[Finding]:
-        for subject, find in self._own_by_subject.items():
-            found = find()
-            if found is not None:
-                yield Finding(self._host, self._start_number, subject, found, 0)
-
     def _as_finding(self, item: tuple[_Key, HeardFinding]) -> Finding:
         (subject, host, start_number), kept = item
         age_s = self._clock() - kept.found_s
--- a/marigoldhoist/components/mirrors/members.py
+++ b/marigoldhoist/components/mirrors/members.py
@@ -25,6 +25,11 @@
     failure_domain: str
     heard_s: float
     avoided_until_s: float = 0
+    rank: int = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Work the rank out once, as members are sorted at each read."""
+        self.rank = rank(self.host)
 
 
 class Members:
@@ -32,6 +37,7 @@
 
     def __init__(self, own: DaemonCard, clock: Callable[[], float]) -> None:
         self.own = own
+        self._own_rank = rank(own.host)
         self._clock = clock
         self.member_by_host: dict[str, Member] = {}
 
@@ -51,26 +57,26 @@
                 emit(
                     PEER_FORGOTTEN,
                     peer=host,
-                    heard_age_s=round(now_s - member.heard_s, 3),
+                    heard_age_s=self._heard_age_s(member),
                 )
 
     def note_failed(self, member: Member, reason: str) -> None:
         """Avoid a daemon for a while."""
-        member.avoided_until_s = self._clock() + AVOID_S
+        self._avoid(member)
         emit(
             PEER_FAILED,
             peer=member.host,
             reason=reason,
-            heard_age_s=round(self._clock() - member.heard_s, 3),
+            heard_age_s=self._heard_age_s(member),
         )
 
     def note_relaying(self, member: Member) -> None:
         """Pass over a reader that has its news from others, for a while."""
-        member.avoided_until_s = self._clock() + AVOID_S
+        self._avoid(member)
         emit(
             READER_RELAYS,
             peer=member.host,
-            heard_age_s=round(self._clock() - member.heard_s, 3),
+            heard_age_s=self._heard_age_s(member),
         )
 
     def note_answered(self, member: Member) -> None:
@@ -99,7 +105,7 @@
             for member in self.member_by_host.values()
             if now_s >= member.avoided_until_s
         ]
-        return sorted(found, key=_member_rank)
+        return sorted(found, key=_rank_of)
 
     def readers(self, count: int) -> list[Member] | None:
         """Return whom to ask, none where this daemon is a reader itself."""
@@ -108,10 +114,15 @@
             for member in self.usable()
             if member.failure_domain == self.own.failure_domain
         ]
-        own_rank = rank(self.own.host)
-        before = [one for one in near if rank(one.host) < own_rank]
+        before = [one for one in near if one.rank < self._own_rank]
         return before[:count] if len(before) >= count else None
 
+    def _avoid(self, member: Member) -> None:
+        member.avoided_until_s = self._clock() + AVOID_S
+
+    def _heard_age_s(self, member: Member) -> float:
+        return round(self._clock() - member.heard_s, 3)
+
     def _hear_one(self, card: DaemonCard, heard_s: float) -> None:
         known = self.member_by_host.get(card.host)
         if known is None or known.address != card.address:
@@ -134,5 +145,5 @@
     return xxhash.xxh3_64_intdigest(host.encode())
 
 
-def _member_rank(member: Member) -> int:
-    return rank(member.host)
+def _rank_of(member: Member) -> int:
+    return member.rank
--- a/marigoldhoist/components/mirrors/peers.py
+++ b/marigoldhoist/components/mirrors/peers.py
@@ -30,6 +30,7 @@
     ReadReply,
     ReadRequest,
 )
+from marigoldhoist.core.identity import split_address
 
 READ_METHOD: Final = '/marigoldhoist.Mirror/Read'
 WHOLE: Final = -1
@@ -54,13 +55,9 @@
         self, member: Member, topic: Topic | None, offset: int, wait_s: float
     ) -> ReadReply:
         """Return a daemon's answer; StoreUnavailableError for none."""
-        request = ReadRequest(
-            self.members.own,
-            topic.value if topic else '',
-            offset,
-            wait_s,
-            self._findings.along_with(topic.value if topic else ''),
-        )
+        name = topic.value if topic else ''
+        findings = self._findings.along_with(name)
+        request = ReadRequest(self.members.own, name, offset, wait_s, findings)
         try:
             reply = await self._call(member.address, request)
         except CALL_ERRORS as error:
@@ -80,10 +77,8 @@
     async def _call(self, address: str, request: ReadRequest) -> ReadReply:
         channel = self._channel_by_address.get(address)
         if channel is None:
-            host, _, port = address.rpartition(':')
-            channel = grpclib.client.Channel(
-                host, int(port), codec=MsgpackCodec()
-            )
+            host, port = split_address(address)
+            channel = grpclib.client.Channel(host, port, codec=MsgpackCodec())
             self._channel_by_address[address] = channel
         method: grpclib.client.UnaryUnaryMethod[ReadRequest, ReadReply] = (
             grpclib.client.UnaryUnaryMethod(
--- a/marigoldhoist/components/mirrors/service.py
+++ b/marigoldhoist/components/mirrors/service.py
@@ -34,7 +34,7 @@
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.const import MS_PER_S
 from marigoldhoist.core.events import emit
-from marigoldhoist.core.identity import DaemonSettings
+from marigoldhoist.core.identity import DaemonSettings, split_address
 from marigoldhoist.core.kernel import BaseService, Kernel
 
 
@@ -67,12 +67,12 @@
         """Answer other daemons and begin to look for them."""
         if self._settings.address is None:
             return
-        host, _, port = self._settings.address.rpartition(':')
+        host, port = split_address(self._settings.address)
         handler = MirrorHandler(
             self.members, self.findings, self._feeds.feed_by_topic
         )
         self._server = grpclib.server.Server([handler], codec=MsgpackCodec())
-        await self._server.start(host, int(port))
+        await self._server.start(host, port)
         self._gossip = asyncio.get_running_loop().create_task(self._run())
 
     def stop(self) -> None:
--- a/marigoldhoist/components/routing/const.py
+++ b/marigoldhoist/components/routing/const.py
@@ -4,8 +4,6 @@
 
 COMPONENT: Final = 'routing'
 
-HASH_RANGE: Final = 1 << 64
-
 SUBSET_NEAR_REPLICAS: Final = 9
 SUBSET_FAR_REPLICAS: Final = 3
 DEFAULT_SERVICE_TIME_S: Final = 3.0
--- a/marigoldhoist/components/routing/shares.py
+++ b/marigoldhoist/components/routing/shares.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-from marigoldhoist.components.routing.const import HASH_RANGE
+from marigoldhoist.core.rendezvous import HASH_RANGE
 
 
 def is_within_share(key: str, version: str, share: float) -> bool:
--- a/marigoldhoist/core/identity.py
+++ b/marigoldhoist/core/identity.py
@@ -22,3 +22,9 @@
     failure_domain: Name
     address: Address
     log_level: str = 'info'
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- a/marigoldhoist/platform/store.py
+++ b/marigoldhoist/platform/store.py
@@ -27,8 +27,8 @@
     MessageHead,
     request_bytes,
 )
-from marigoldhoist.components.gateway.settings import split_address
 from marigoldhoist.core.const import MS_PER_S
+from marigoldhoist.core.identity import split_address
 from marigoldhoist.platform.const import APPEND_LOG, READ_LOG, READ_NEWEST
 
 NAME_BY_TOPIC: Final = {
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Sequence
 
+from marigoldhoist.core.identity import split_address
 from tools.soak.checks import CallSeen, Evidence
 from tools.soak.const import CALL_PAUSE_S, CALL_TIMEOUT_S
 from tools.soak.daemons import DaemonProcess
@@ -74,8 +75,8 @@
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         if self._streams is None:
             self._daemon = self._rng.choice(self._daemons)
-            host, _, port = self._daemon.callers.rpartition(':')
-            self._streams = await asyncio.open_connection(host, int(port))
+            host, port = split_address(self._daemon.callers)
+            self._streams = await asyncio.open_connection(host, port)
         return self._streams
 
     def _drop(self) -> None:
--- a/tools/soak/daemons.py
+++ b/tools/soak/daemons.py
@@ -9,6 +9,7 @@
 import sys
 from typing import Any
 
+from marigoldhoist.core.identity import split_address
 from tools.soak.const import CONTACT_S, READY_TIMEOUT_S
 from tools.world.addresses import next_address
 
@@ -88,9 +89,9 @@
 
     async def wait_until_ready(self) -> None:
         """Wait until the daemon tells the balancer that it is ready."""
-        host, _, port = self.readiness.rpartition(':')
+        host, port = split_address(self.readiness)
         async with asyncio.timeout(READY_TIMEOUT_S):
-            while not await _is_ready(host, int(port)):
+            while not await _is_ready(host, port):
                 await asyncio.sleep(0.05)
 
     def end(self) -> None:
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+from marigoldhoist.core.identity import split_address
 from tools.platform_standins.http import StandInServer
 
 
@@ -37,11 +38,9 @@
         """Pass one connection on until either end closes."""
         if self.link.refuses:
             return
-        host, _, port = self._target.rpartition(':')
+        host, port = split_address(self._target)
         try:
-            far_reader, far_writer = await asyncio.open_connection(
-                host, int(port)
-            )
+            far_reader, far_writer = await asyncio.open_connection(host, port)
         except OSError:
             return
         self._writers.add(far_writer)
