Keep a rejected version out after an order for another one

Cause: a rejected version was known by its roll-out alone, and the next order for the service replaces that. The replicas of the rejected version drain only some seconds after the state is stored, later while the store is away, and until then it counted as one of the other versions, which serve while the old one takes no requests. Class of fault: knowledge kept with an object that is replaced.

TestRejectedVersion.test_gets_none_after_an_order_for_another_version failed before (calls ran at the rejected version once the old replicas were away) and passes now.

Change: the service keeps the rejected targets of its earlier orders; an order for such a version allows it again. A daemon that starts after the later order does not know of the earlier one.

--- a/marigoldhoist/components/canary/service.py
+++ b/marigoldhoist/components/canary/service.py
@@ -66,6 +66,7 @@
         self._held_orders = HeldOrders(SYSTEM_CLOCK.boottime_s)
         self._status_handler: Callable[[FeedUpdate], None] | None = None
         self._writer: asyncio.Task[None] | None = None
+        self._rejected_by_service: dict[str, set[str]] = {}
         self.roll_out_by_service: dict[str, RollOut] = {}
 
     def attach(
@@ -114,6 +115,7 @@
             if is_restored:
                 self._held_orders.hold(order, known.order)
                 return
+        self._update_rejected(order, known)
         roll_out = new_roll_out(order, now_s, unseen_s)
         self.roll_out_by_service[order.service] = roll_out
         self.analysis.begin(roll_out)
@@ -167,7 +169,8 @@
         if roll_out is None:
             return None
         target = roll_out.order.target
-        others = tuple(sorted(self._directory.versions(service) - {target}))
+        excluded = {target, *self._rejected_by_service.get(service, ())}
+        others = tuple(sorted(self._directory.versions(service) - excluded))
         if roll_out.state is RollOutState.COMPLETED:
             return (target,)
         if not roll_out.is_target_allowed:
@@ -193,6 +196,18 @@
         if session:
             self._sessions.record(session, version, SYSTEM_CLOCK.boottime_s())
 
+    def _update_rejected(
+        self, order: RollOutOrder, replaced: RollOut | None
+    ) -> None:
+        """Remember a rejected target, unless it is ordered once more.
+
+        Its replicas may outlast the order, and drain only later.
+        """
+        rejected = self._rejected_by_service.setdefault(order.service, set())
+        if replaced is not None and not replaced.is_target_allowed:
+            rejected.add(replaced.order.target)
+        rejected.discard(order.target)
+
     @property
     def _is_status_known(self) -> bool:
         feed = self._feeds.feed_by_topic.get(Topic.STATUS)
--- a/tests/platform/test_roll_outs.py
+++ b/tests/platform/test_roll_outs.py
@@ -146,3 +146,27 @@
         status, before, after = asyncio.run(scenario())
         assert status == 503
         assert before == after
+
+    def test_gets_none_after_an_order_for_another_version(self) -> None:
+        async def scenario() -> int:
+            async with roll_out_under_traffic(HEALTHY, FAILS) as harness:
+                await wait_until(
+                    lambda: 'rolled_back' in stored_states(harness, ORDER_KEY)
+                )
+                await harness.add_replica('p4', 'plain', version='v3')
+                await harness.wait_until_ready()
+                await harness.store.put(
+                    OPERATOR_TOPIC, ORDER_KEY, {**ORDER, 'target': 'v3'}
+                )
+                canary = harness.kernel.find(CANARY, CanaryService)
+                roll_outs = canary.roll_out_by_service
+                await wait_until(
+                    lambda: roll_outs['plain'].order.target == 'v3'
+                )
+                before = harness.run_count('p3')
+                for name in ('p1', 'p2'):
+                    harness.replica_by_name[name].stop()
+                await asyncio.sleep(1)
+                return harness.run_count('p3') - before
+
+        assert asyncio.run(scenario()) == 0
