--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -125,6 +125,7 @@
     def __init__(self) -> None:
         self.store = StandInStore()
         self.replica_by_name: dict[str, StandInReplica] = {}
+        self.crashing_parts: frozenset[str] = frozenset()
         ip_address = next_address()
         self.address = f'{ip_address}:8080'
         self.readiness = f'{ip_address}:8081'
@@ -178,6 +179,7 @@
     ) -> StandInReplica:
         """Start a replica and store its registration."""
         replica = StandInReplica(name)
+        replica.crashing_parts = self.crashing_parts
         await replica.start(HOST)
         self.replica_by_name[name] = replica
         entry = replica.entry(service, **overrides)
--- /dev/null
+++ b/tests/platform/test_crashing_parts.py
@@ -0,0 +1,148 @@
+"""The whole gateway while a part of some prompts crashes replicas."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import AsyncIterator
+
+from tests.platform.harness import (
+    CallerResponse,
+    GatewayHarness,
+    running_gateway,
+)
+from tools.platform_standins.replica import StandInReplica
+from tools.platform_standins.store import REPLICAS_TOPIC
+
+SHARED_PART = 'aaaa01'
+CRASHING_PART = 'dead01'
+REPLICAS = 6
+RESTART_S = 0.4
+CALL_PAUSE_S = 0.03
+# Crashes after which the daemons have `CONTACT_S` to hold the part back, and
+# the requests with it that may reach replicas after that.
+CRASHES = 5
+CONTACT_S = 3.0
+MAX_LATER_ARRIVALS = 3
+OBSERVED_S = 2.0
+# Share of the sound requests that have to be served then.
+MIN_SERVED_SHARE = 0.9
+
+part_numbers = itertools.count(1)
+
+
+def prompt(*part_ids: str) -> str:
+    """Return the parts of a prompt; the last one is its own."""
+    own = f'f{next(part_numbers):06x}'
+    return ','.join(f'{part_id}:100' for part_id in (*part_ids, own))
+
+
+async def call_model(
+    harness: GatewayHarness, *part_ids: str
+) -> CallerResponse:
+    """Request a stream whose prompt starts with the given parts."""
+    return await harness.stream(Prefix_Hash=prompt(*part_ids))
+
+
+class CrashingFleet:
+    """Model replicas that crash and are back under other names."""
+
+    def __init__(self, harness: GatewayHarness) -> None:
+        self.harness = harness
+        self.replicas: list[StandInReplica] = []
+        self._numbers = itertools.count(1)
+
+    async def start(self) -> None:
+        """Replace the two model replicas of the harness by the fleet."""
+        for name in ('e1', 'e2'):
+            await self.harness.store.put_raw(REPLICAS_TOPIC, name, b'')
+            self.harness.replica_by_name.pop(name).stop()
+        for _ in range(REPLICAS):
+            await self._add()
+        await self.harness.wait_until_ready()
+
+    @property
+    def crashes(self) -> int:
+        """Return how many replicas have crashed."""
+        return sum(replica.has_crashed for replica in self.replicas)
+
+    @property
+    def crashing_arrivals(self) -> int:
+        """Return how many requests with the part reached replicas."""
+        return sum(
+            replica.part_ids[CRASHING_PART] for replica in self.replicas
+        )
+
+    async def run(self) -> None:
+        """Start replicas in place of those that crashed, until cancelled."""
+        replaced: set[str] = set()
+        while True:
+            for replica in tuple(self.replicas):
+                if replica.has_crashed and replica.name not in replaced:
+                    replaced.add(replica.name)
+                    await asyncio.sleep(RESTART_S)
+                    await self.harness.store.put_raw(
+                        REPLICAS_TOPIC, replica.name, b''
+                    )
+                    await self._add()
+            await asyncio.sleep(0.01)
+
+    async def _add(self) -> None:
+        replica = await self.harness.add_replica(
+            f'm{next(self._numbers)}', 'model'
+        )
+        replica.event_pause_s = 0.01
+        self.replicas.append(replica)
+
+
+@contextlib.asynccontextmanager
+async def crashing_fleet() -> AsyncIterator[CrashingFleet]:
+    """Provide a fleet that crashes on one part, under sound traffic."""
+    async with running_gateway() as harness:
+        harness.crashing_parts = frozenset((CRASHING_PART,))
+        fleet = CrashingFleet(harness)
+        await fleet.start()
+        restarts = asyncio.create_task(fleet.run())
+        try:
+            yield fleet
+        finally:
+            restarts.cancel()
+
+
+async def call_crashing_part(fleet: CrashingFleet, duration_s: float) -> None:
+    """Call with the crashing part again and again for a time."""
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + duration_s
+    while loop.time() < end_s:
+        await call_model(fleet.harness, SHARED_PART, CRASHING_PART)
+        await asyncio.sleep(CALL_PAUSE_S)
+
+
+class TestCrashingPart:
+    """One part of a prompt crashes each replica that answers it."""
+
+    def test_is_held_back_while_sound_requests_are_served(self) -> None:
+        async def scenario() -> tuple[int, float]:
+            async with crashing_fleet() as fleet:
+                for _ in range(REPLICAS):
+                    await call_model(fleet.harness, SHARED_PART)
+                async with asyncio.timeout(20):
+                    while fleet.crashes < CRASHES:
+                        await call_crashing_part(fleet, CALL_PAUSE_S)
+                        await call_model(fleet.harness, SHARED_PART)
+                await call_crashing_part(fleet, CONTACT_S)
+                before = fleet.crashing_arrivals
+                calls = asyncio.create_task(
+                    call_crashing_part(fleet, OBSERVED_S)
+                )
+                served = []
+                while not calls.done():
+                    response = await call_model(fleet.harness, SHARED_PART)
+                    served.append(response.is_complete)
+                return (
+                    fleet.crashing_arrivals - before,
+                    sum(served) / len(served),
+                )
+
+        later, served_share = asyncio.run(scenario())
+        assert later <= MAX_LATER_ARRIVALS
+        assert served_share >= MIN_SERVED_SHARE
--- a/tools/platform_standins/replica.py
+++ b/tools/platform_standins/replica.py
@@ -61,7 +61,9 @@
 
     Each request consumes the next queued fault, if any. `events` is the number
     of events in a stream, `limit_per_s` a limit that it names, `retry_after_s`
-    what it adds when it sheds a request, `arrivals` the number of requests.
+    what it adds when it sheds a request, `arrivals` the number of requests. A
+    stream whose prompt has one of `crashing_parts` crashes the replica
+    `crash_delay_s` after the head of the response.
     `executed_requests` holds every request that was executed, `cancelled_ids`
     the ids of streams whose client disconnected, and `interrupted_ids` the ids
     of requests whose response a fault may have cut.
@@ -77,6 +79,10 @@
         self.limit_per_s: float | None = None
         self.is_leaving = False
         self.retry_after_s: float | None = None
+        self.crashing_parts: frozenset[str] = frozenset()
+        self.crash_delay_s = 0.02
+        self.has_crashed = False
+        self.part_ids: collections.Counter[str] = collections.Counter()
         self.arrivals = 0
         self.faults: collections.deque[ReplicaFault] = collections.deque()
         self.executed_requests: list[ReceivedRequest] = []
@@ -99,6 +105,11 @@
             **changed,
         }
 
+    def crash(self) -> None:
+        """End the process: stop listening and reset every connection."""
+        self.has_crashed = True
+        self.stop()
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -118,6 +129,7 @@
     ) -> bool:
         """Handle one request; return False to abort the connection."""
         self.arrivals += 1
+        self.part_ids.update(_part_ids(request))
         target = request.headers.get('target-instance', self.name)
         if target != self.name or fault is ReplicaFault.OTHER:
             writer.write(encode_response(421, {'Instance-Id': 'another'}))
@@ -187,6 +199,10 @@
             f'HTTP/1.1 200 OK\r\n{lines}Content-Type: text/event-stream\r\n'
             'Transfer-Encoding: chunked\r\n\r\n'.encode()
         )
+        if self.crashing_parts.intersection(_part_ids(request)):
+            await asyncio.sleep(self.crash_delay_s)
+            self.crash()
+            return False
         start = int(request.headers.get('last-event-id', '0'))
         for number in range(start + 1, self.events + 1):
             await asyncio.sleep(self.event_pause_s)
@@ -218,3 +234,9 @@
         if self.is_leaving:
             headers['Server-Leaving'] = '1'
         return headers
+
+
+def _part_ids(request: ReceivedRequest) -> list[str]:
+    """Return the ids of the parts of the request's prompt."""
+    entries = request.headers.get('prefix-hash', '').split(',')
+    return [entry.partition(':')[0] for entry in entries if entry]
