--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -36,9 +36,7 @@
     return ','.join(f'{part_id}:100' for part_id in (*part_ids, own))
 
 
-async def call_model(
-    harness: GatewayHarness, *part_ids: str
-) -> CallerResponse:
+async def call_model(harness: GatewayHarness, *part_ids: str) -> CallerResponse:
     """Request a stream whose prompt starts with the given parts."""
     return await harness.stream(Prefix_Hash=prompt(*part_ids))
 
@@ -68,9 +66,7 @@
     @property
     def crashing_arrivals(self) -> int:
         """Return how many requests with the part reached replicas."""
-        return sum(
-            replica.part_ids[CRASHING_PART] for replica in self.replicas
-        )
+        return sum(replica.part_ids[CRASHING_PART] for replica in self.replicas)
 
     async def run(self) -> None:
         """Start replicas in place of those that crashed, until cancelled."""
