Refuse requests with a prompt part that crashes replicas

Cause: a crash counted as one more lost connection of one call at one replica. Nothing asked what the crashes had in common. Class of fault: a retry policy that spreads a failure which the request itself causes.

Change: the quarantine component. A daemon that loses a connection to a replica which is not leaving checks whether the replica refuses new ones, and records the crash with the shared prompt parts in flight there. All daemons exchange what they know as a set that only grows, pushed to the readers of the failure domains and read by the others with the list of replicas. A part that is never answered and is there at three crashes explains them, unless another part does as well; a part with recent answers needs eight crashes over 3 s. A part that stays the culprit for 1 s is held for 10 min, twice as long each further time. Calls with it are refused at once: not run, or failed where an attempt ran.

Evidence: tests/platform/test_crashing_parts.py failed before (5 arrivals in 2 s where 3 are allowed) and passes now; tests/components/quarantine has what must not be found.

--- a/marigoldhoist/components/gateway/__init__.py
+++ b/marigoldhoist/components/gateway/__init__.py
@@ -12,13 +12,16 @@
 from marigoldhoist.components.gateway.const import COMPONENT
 from marigoldhoist.components.gateway.service import GatewayService
 from marigoldhoist.components.mirrors.const import COMPONENT as MIRRORS
+from marigoldhoist.components.quarantine.const import (
+    COMPONENT as QUARANTINE,
+)
 from marigoldhoist.core.deployments import GATEWAY
 from marigoldhoist.core.kernel import Kernel, component
 
 
 @component(
     COMPONENT,
-    needs=(CANARY, CONFIGURATION, DIRECTORY, MIRRORS),
+    needs=(CANARY, CONFIGURATION, DIRECTORY, MIRRORS, QUARANTINE),
     deployment=GATEWAY,
 )
 def set_up(kernel: Kernel) -> GatewayService:
--- a/marigoldhoist/components/gateway/attempts.py
+++ b/marigoldhoist/components/gateway/attempts.py
@@ -10,11 +10,8 @@
 from marigoldhoist.components.directory.models import Replica
 from marigoldhoist.components.gateway.admission import AdmittedCall
 from marigoldhoist.components.gateway.const import MIN_SEND_TIME_LEFT_S
-from marigoldhoist.components.gateway.context import (
-    GatewayContext,
-    RefusedError,
-)
-from marigoldhoist.components.gateway.errors import AttemptError
+from marigoldhoist.components.gateway.context import GatewayContext
+from marigoldhoist.components.gateway.errors import AttemptError, RefusedError
 from marigoldhoist.components.gateway.events import (
     ANSWER_FAILED,
     ATTEMPT_FAILED,
@@ -23,6 +20,7 @@
     STREAM_RESUMED,
 )
 from marigoldhoist.components.gateway.models import ForwardingContext
+from marigoldhoist.components.gateway.part_guard import PartGuard
 from marigoldhoist.components.gateway.progress import CallProgress
 from marigoldhoist.components.gateway.replica_picker import PickRequest
 from marigoldhoist.components.gateway.sender import ReplicaResponse
@@ -45,18 +43,25 @@
     def __init__(self, progress: CallProgress, context: GatewayContext) -> None:
         self._progress = progress
         self._context = context
+        self._part_guard = PartGuard(progress, context.quarantine)
 
     def admit(self) -> AdmittedCall:
         """Return the admitted call; raise RefusedError if it is refused."""
-        admitted = self._context.admission.admit(self._progress.call)
+        progress = self._progress
+        admitted = self._context.admission.admit(progress.call)
+        failure: RequestFailure | None
         if isinstance(admitted, AdmittedCall):
-            self._progress.service = admitted.service
-            self._progress.route_name = admitted.route.name
-            self._progress.route_timeout_s = admitted.route.timeout_s
-            return admitted
-        if self._progress.verdict is not Verdict.NOT_RUN:
+            progress.service = admitted.service
+            progress.route_name = admitted.route.name
+            progress.route_timeout_s = admitted.route.timeout_s
+            failure = self._part_guard.held_part_failure()
+            if failure is None:
+                return admitted
+        else:
+            failure = admitted
+        if progress.verdict is not Verdict.NOT_RUN:
             raise RefusedError(self._upstream_failure())
-        raise RefusedError(admitted)
+        raise RefusedError(failure)
 
     @contextlib.asynccontextmanager
     async def send(self) -> AsyncIterator[ReplicaResponse]:
@@ -81,18 +86,23 @@
             progress.last_event_id,
             self.expected_first_event_s(progress.model) or 0,
         )
-        async with self._context.sender.send(
-            progress.call,
-            forwarding,
-            replica,
-            is_repeatable=admitted.route.is_repeatable,
-        ) as response:
-            yield response
+        with self._part_guard.tracked(replica):
+            async with self._context.sender.send(
+                progress.call,
+                forwarding,
+                replica,
+                is_repeatable=admitted.route.is_repeatable,
+            ) as response:
+                yield response
 
     def record_response(
-        self, response: ReplicaResponse, *, is_failure: bool
+        self,
+        response: ReplicaResponse,
+        *,
+        is_failure: bool,
+        is_complete: bool = True,
     ) -> None:
-        """Update replica health, prefill times and canary analysis."""
+        """Update replica health, prefill times, canary and quarantine."""
         replica = response.replica
         progress = self._progress
         prompt = progress.call.prompt
@@ -109,6 +119,8 @@
             )
         else:
             replica.note_success(now_s)
+            if is_complete:
+                self._part_guard.record_answer()
             if prompt is not None:
                 self._context.picker.record_prefill(
                     replica, progress.model, prompt, response.time_to_head_s
--- a/marigoldhoist/components/gateway/exchange.py
+++ b/marigoldhoist/components/gateway/exchange.py
@@ -5,15 +5,13 @@
 from marigoldhoist.components.configuration.models import Route
 from marigoldhoist.components.gateway.attempts import Attempts
 from marigoldhoist.components.gateway.connection import HttpConnection
-from marigoldhoist.components.gateway.context import (
-    GatewayContext,
-    RefusedError,
-)
+from marigoldhoist.components.gateway.context import GatewayContext
 from marigoldhoist.components.gateway.deliveries import (
     ResponseWriter,
     deliver,
     delivery_by_kind,
 )
+from marigoldhoist.components.gateway.errors import RefusedError
 from marigoldhoist.components.gateway.events import (
     CALLER_LEFT,
     REQUEST_BROKEN_OFF,
--- a/marigoldhoist/components/gateway/sender.py
+++ b/marigoldhoist/components/gateway/sender.py
@@ -88,7 +88,9 @@
         except ConnectionClosedError as error:
             if self.head.is_close_delimited and not error.was_reset:
                 return End.OF_MESSAGE
-            raise AttemptError('answer cut', Verdict.MAY_HAVE_RUN) from error
+            raise AttemptError(
+                'answer cut', Verdict.MAY_HAVE_RUN, is_connection_lost=True
+            ) from error
         except MalformedMessageError as error:
             raise AttemptError(
                 'answer malformed', Verdict.MAY_HAVE_RUN
@@ -185,7 +187,11 @@
                 )
         except (ConnectionClosedError, MalformedMessageError) as error:
             replica.note_failure(SYSTEM_CLOCK.boottime_s())
-            raise AttemptError(str(error), Verdict.MAY_HAVE_RUN) from error
+            raise AttemptError(
+                str(error),
+                Verdict.MAY_HAVE_RUN,
+                is_connection_lost=isinstance(error, ConnectionClosedError),
+            ) from error
         self._record_metadata(replica, metadata, connection)
         response = ReplicaResponse(
             replica, connection, head, metadata, has_body=call.method != HEAD
--- a/marigoldhoist/components/gateway/stream_delivery.py
+++ b/marigoldhoist/components/gateway/stream_delivery.py
@@ -80,7 +80,9 @@
                 if self._is_new_event(event):
                     yield event.raw
         if splitter.has_partial_event:
-            raise AttemptError('stream cut', Verdict.MAY_HAVE_RUN)
+            raise AttemptError(
+                'stream cut', Verdict.MAY_HAVE_RUN, is_connection_lost=True
+            )
 
     def _is_new_event(self, event: StreamEvent) -> bool:
         """Return whether an event is new.
@@ -132,7 +134,9 @@
             progress.service
         ):
             return False
-        self._attempts.record_response(response, is_failure=False)
+        self._attempts.record_response(
+            response, is_failure=False, is_complete=False
+        )
         progress.note(
             MODEL_RAISED,
             confidence=response.metadata.confidence,
--- a/marigoldhoist/components/mirrors/const.py
+++ b/marigoldhoist/components/mirrors/const.py
@@ -32,6 +32,8 @@
 # together still have to find each other.
 DISCOVERY_INTERVAL_S: Final = 0.6
 DISCOVERY_S: Final = 3.0
+# Shortest pause between two pushes of findings.
+PUSH_INTERVAL_S: Final = 0.1
 # A reader sends the known daemons to a caller at most this often, so that its
 # traffic does not grow with the square of the fleet.
 MEMBERS_INTERVAL_S: Final = 2.0
--- a/marigoldhoist/components/mirrors/findings.py
+++ b/marigoldhoist/components/mirrors/findings.py
@@ -59,12 +59,25 @@
         self._start_number = start_number
         self._clock = clock
         self._provider_by_subject: dict[str, FindingProvider] = {}
+        self._urgent_subjects: set[str] = set()
         self._received_by_key: dict[_Key, ReceivedFinding] = {}
         self._listeners: list[Callable[[str], None]] = []
 
-    def publish(self, subject: str, provider: FindingProvider) -> None:
-        """Send the provider's finding about a subject to other daemons."""
+    def publish(
+        self,
+        subject: str,
+        provider: FindingProvider,
+        *,
+        is_urgent: bool = False,
+    ) -> None:
+        """Send the provider's finding about a subject to other daemons.
+
+        An urgent finding is sent with more reads. It contains what the daemon
+        learnt from others, so theirs are not relayed.
+        """
         self._provider_by_subject[subject] = provider
+        if is_urgent:
+            self._urgent_subjects.add(subject)
 
     def withdraw(self, subject: str) -> None:
         """Stop publishing a subject; other daemons keep it until it expires."""
@@ -83,11 +96,12 @@
             if key[0] == subject
         ]
 
-    def local_findings(self) -> list[Finding]:
+    def local_findings(self, *, is_urgent_only: bool = False) -> list[Finding]:
         """Return the current findings of this daemon."""
         payload_by_subject = {
             subject: provider()
             for subject, provider in self._provider_by_subject.items()
+            if subject in self._urgent_subjects or not is_urgent_only
         }
         return [
             Finding(self._host, self._start_number, subject, payload, 0)
@@ -100,9 +114,12 @@
         if not self._provider_by_subject and not self._received_by_key:
             return []
         self._remove_expired()
-        newest = sorted(
-            self._received_by_key.items(), key=lambda item: -item[1].created_s
+        relayed = (
+            item
+            for item in self._received_by_key.items()
+            if item[0][0] not in self._urgent_subjects
         )
+        newest = sorted(relayed, key=lambda item: -item[1].created_s)
         findings = [*self.local_findings(), *map(self._as_finding, newest)]
         return findings[:MAX_FINDINGS_PER_MESSAGE]
 
@@ -111,10 +128,13 @@
 
         A gossip call, which has an empty topic, carries all known findings.
         Reads of the status topic carry the local ones: daemons follow that
-        topic only while there are roll-outs, the subjects of findings.
+        topic only while there are roll-outs, the subjects of findings. Reads of
+        the replicas, which are the most frequent, carry the urgent ones.
         """
         if not topic:
             return self.known_findings()
+        if topic == Topic.REPLICAS.value:
+            return self.local_findings(is_urgent_only=True)
         return self.local_findings() if topic == Topic.STATUS.value else []
 
     def merge(self, findings: Iterable[Finding]) -> None:
--- a/marigoldhoist/components/mirrors/membership.py
+++ b/marigoldhoist/components/mirrors/membership.py
@@ -150,6 +150,21 @@
         """
         return self._preceding()[reader_count : reader_count + count]
 
+    def select_relays(self) -> list[Member]:
+        """Return the members that pass news on to the rest of the fleet.
+
+        These are the readers of the other failure domains for a reader, and
+        its reader for any other daemon.
+        """
+        preceding = self._preceding()
+        if preceding:
+            return preceding[:1]
+        first_by_domain: dict[str, Member] = {}
+        for member in self.available():
+            first_by_domain.setdefault(member.failure_domain, member)
+        first_by_domain.pop(self.own.failure_domain, None)
+        return list(first_by_domain.values())
+
     def _preceding(self) -> list[Member]:
         """Return the available members of the domain that rank before this."""
         return [
--- a/marigoldhoist/components/mirrors/service.py
+++ b/marigoldhoist/components/mirrors/service.py
@@ -32,6 +32,7 @@
     PeerClient,
     PeerSource,
 )
+from marigoldhoist.components.mirrors.pusher import FindingPusher
 from marigoldhoist.components.mirrors.settings import MirrorSettings
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.const import MS_PER_S
@@ -62,6 +63,8 @@
         self._client = PeerClient(self.membership, self.findings)
         self._server: grpclib.server.Server | None = None
         self._gossip_task: asyncio.Task[None] | None = None
+        self._pusher = FindingPusher(self.membership, self._client)
+        self._push_task: asyncio.Task[None] | None = None
         self._is_reader = True
         self._feeds.set_source_selector(self.select_sources)
 
@@ -78,15 +81,23 @@
         self._gossip_task = asyncio.get_running_loop().create_task(
             self._run_gossip_loop()
         )
+        self._push_task = asyncio.get_running_loop().create_task(
+            self._pusher.run()
+        )
 
     def stop(self) -> None:
         """Stop the gossip task, the peer server and the client."""
-        if self._gossip_task is not None:
-            self._gossip_task.cancel()
+        for task in (self._gossip_task, self._push_task):
+            if task is not None:
+                task.cancel()
         if self._server is not None:
             self._server.close()
         self._client.close()
 
+    def push_findings(self) -> None:
+        """Send the findings soon to the daemons that pass them on."""
+        self._pusher.request()
+
     def select_sources(self, store: Source) -> list[Source]:
         """Return the sources that a feed queries, in order of preference."""
         readers = self.membership.select_readers(READERS_PER_DOMAIN)
--- /dev/null
+++ b/marigoldhoist/components/quarantine/evidence.py
@@ -0,0 +1,122 @@
+"""What this daemon knows of crashes, by itself and from others."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from marigoldhoist.components.mirrors.findings import ReceivedFinding
+from marigoldhoist.components.quarantine.answered_parts import AnsweredParts
+from marigoldhoist.components.quarantine.crash_log import CrashLog, is_expired
+from marigoldhoist.components.quarantine.culprits import (
+    Evidence,
+    find_culprits,
+)
+from marigoldhoist.components.quarantine.events import (
+    PART_HELD,
+    QUARANTINE_REPORT_IGNORED,
+)
+from marigoldhoist.components.quarantine.exchange import (
+    crashes_of,
+    decode_finding,
+    encode_finding,
+    held_of,
+)
+from marigoldhoist.components.quarantine.held_parts import HeldParts
+from marigoldhoist.components.quarantine.models import HeldPart
+from marigoldhoist.components.quarantine.settings import QuarantineSettings
+from marigoldhoist.core.clock import SystemClock
+from marigoldhoist.core.events import emit
+
+
+class SharedEvidence:
+    """Crashes, answered parts and held parts, merged over the daemons."""
+
+    def __init__(
+        self, settings: QuarantineSettings, clock: SystemClock
+    ) -> None:
+        self._clock = clock
+        self._allowed = frozenset(settings.allowed_parts)
+        self.answered = AnsweredParts()
+        self.crashes = CrashLog()
+        self.held = HeldParts()
+
+    @property
+    def held_count(self) -> int:
+        """Return the number of parts that are held back now."""
+        return len(self.held.active_ids(self._clock.boottime_s()))
+
+    def is_allowed(self, part_id: str) -> bool:
+        """Return whether the operator has lifted a part."""
+        return part_id in self._allowed
+
+    def record_answer(self, part_ids: tuple[str, ...], now_s: float) -> None:
+        """Record that a prompt with the parts was answered completely."""
+        self.answered.record(part_ids, now_s)
+        for part_id in self.held.on_probation(now_s).intersection(part_ids):
+            self.held.release(part_id)
+
+    def culprits(self, now_s: float) -> dict[str, int]:
+        """Return the crashes of each part that is not held, by part."""
+        return find_culprits(
+            Evidence(
+                list(self.crashes.unexplained(self.held.active_ids(now_s))),
+                self.answered.answered_s_by_part,
+                self.held.on_probation(now_s),
+            )
+        )
+
+    def encode(self) -> bytes | None:
+        """Return all that is known for other daemons, None for nothing."""
+        now_s = self._clock.boottime_s()
+        self.drop_old(now_s)
+        return encode_finding(
+            self.crashes.unexplained(self.held.active_ids(now_s)),
+            self.answered.answered_s_by_part,
+            self.held.held_by_part.values(),
+            now_s,
+        )
+
+    def merge(self, received: ReceivedFinding) -> Iterator[bool]:
+        """Merge what another daemon knows; yield whether each item is new.
+
+        A finding may be kept for longer than its crashes count.
+        """
+        now_s = self._clock.boottime_s()
+        created_s = received.created_s
+        try:
+            finding = decode_finding(received.payload)
+        except msgspec.MsgspecError as error:
+            emit(QUARANTINE_REPORT_IGNORED, reason=str(error))
+            return
+        for part_id, age_s in finding.answer_age_s_by_part.items():
+            self.answered.record((part_id,), created_s - age_s)
+        for crash in crashes_of(finding, created_s):
+            if not is_expired(crash, now_s):
+                yield self.crashes.add(crash)
+        for held in held_of(finding, created_s):
+            is_over = held.is_forgotten(now_s) or self.is_allowed(held.part_id)
+            if not is_over:
+                yield self._merge_held(held)
+
+    def drop_old(self, now_s: float) -> None:
+        """Forget what is too old to count."""
+        self.crashes.drop_expired(now_s)
+        self.held.drop_forgotten(now_s)
+
+    def _merge_held(self, held: HeldPart) -> bool:
+        is_new = self.held.merge(held)
+        if is_new:
+            log_held(held, source='another daemon')
+        return is_new
+
+
+def log_held(held: HeldPart, source: str) -> None:
+    """Log that a part is held back, and who found it."""
+    emit(
+        PART_HELD,
+        part=held.part_id,
+        crashes=held.crashes,
+        hold_s=held.hold_s,
+        times_held=held.times_held,
+        source=source,
+    )
--- /dev/null
+++ b/marigoldhoist/components/quarantine/service.py
@@ -0,0 +1,209 @@
+"""The quarantine service: find and hold back parts that crash replicas."""
+
+import asyncio
+from collections.abc import Iterable
+
+from marigoldhoist.components.directory.const import COMPONENT as DIRECTORY
+from marigoldhoist.components.directory.models import Replica
+from marigoldhoist.components.directory.service import DirectoryService
+from marigoldhoist.components.mirrors.const import COMPONENT as MIRRORS
+from marigoldhoist.components.mirrors.service import MirrorService
+from marigoldhoist.components.quarantine.const import (
+    COMPONENT,
+    FRESH_ANSWER_S,
+    MAX_PARTS_PER_CRASH,
+    SETTLE_S,
+    SUBJECT,
+)
+from marigoldhoist.components.quarantine.culprits import NEVER_S
+from marigoldhoist.components.quarantine.events import (
+    CRASH_NOT_CONFIRMED,
+    PART_CLEARED,
+    PART_SUSPECTED,
+    REPLICA_CRASHED,
+)
+from marigoldhoist.components.quarantine.evidence import (
+    SharedEvidence,
+    log_held,
+)
+from marigoldhoist.components.quarantine.inspection import has_ended
+from marigoldhoist.components.quarantine.models import Crash, ReplicaStart
+from marigoldhoist.components.quarantine.settings import QuarantineSettings
+from marigoldhoist.components.quarantine.work import (
+    Work,
+    WorkTracker,
+    start_of,
+)
+from marigoldhoist.core.clock import SYSTEM_CLOCK, SystemClock
+from marigoldhoist.core.events import emit
+from marigoldhoist.core.kernel import BaseService, Kernel
+
+
+class QuarantineService(BaseService):
+    """Collects crashes, shares them and names the parts to refuse."""
+
+    def __init__(
+        self, kernel: Kernel, clock: SystemClock = SYSTEM_CLOCK
+    ) -> None:
+        settings = kernel.settings.section(QuarantineSettings)
+        self._mirrors = kernel.find(MIRRORS, MirrorService)
+        self._clock = clock
+        self._is_enabled = settings.is_enabled
+        self._work = WorkTracker()
+        self._evidence = SharedEvidence(settings, clock)
+        self._suspected_s_by_part: dict[str, float] = {}
+        self._inspection_by_start: dict[ReplicaStart, asyncio.Task[None]] = {}
+        directory = kernel.find(DIRECTORY, DirectoryService)
+        directory.on_gone(self._forget)
+        if not settings.is_enabled:
+            return
+        findings = self._mirrors.findings
+        findings.publish(SUBJECT, self._evidence.encode, is_urgent=True)
+        findings.add_listener(self._on_finding)
+        kernel.metrics.gauge(
+            'prompt_parts_held',
+            'Prompt parts whose requests are refused, as they crash replicas.',
+        ).set_function(lambda: self._evidence.held_count)
+
+    def stop(self) -> None:
+        """Cancel the inspections."""
+        for inspection in self._inspection_by_start.values():
+            inspection.cancel()
+
+    def begin(self, replica: Replica, part_ids: tuple[str, ...]) -> Work:
+        """Track an attempt that is sent now; `end` must follow."""
+        work = Work(replica, part_ids)
+        if part_ids:
+            self._work.begin(work)
+        return work
+
+    def end(self, work: Work) -> None:
+        """Record the end of an attempt."""
+        if not work.part_ids:
+            return
+        now_s = self._clock.boottime_s()
+        self._work.end(work, now_s)
+        if work.is_answered:
+            self._evidence.record_answer(work.part_ids, now_s)
+
+    def inspect(self, work: Work) -> None:
+        """Find out whether a replica that lost a connection has crashed."""
+        is_planned = work.replica.entry.is_draining or work.replica.is_leaving
+        if is_planned or not work.part_ids or not self._is_enabled:
+            return
+        if work.start in self._inspection_by_start:
+            return
+        self._inspection_by_start[work.start] = (
+            asyncio.get_running_loop().create_task(self._run_inspection(work))
+        )
+
+    def held_part(self, part_ids: Iterable[str]) -> str | None:
+        """Return the part for which a call is refused, None if it is not."""
+        held = self._evidence.held.active_ids(self._clock.boottime_s())
+        return next(
+            (
+                part_id
+                for part_id in part_ids
+                if part_id in held or part_id in self._suspected_s_by_part
+            ),
+            None,
+        )
+
+    def retry_after_s(self, part_id: str) -> float:
+        """Return the seconds after which a call with a part may be sent."""
+        held = self._evidence.held.held_by_part.get(part_id)
+        left_s = held.left_s(self._clock.boottime_s()) if held else 0
+        return max(SETTLE_S, left_s)
+
+    async def _run_inspection(self, work: Work) -> None:
+        noticed_s = self._clock.boottime_s()
+        is_crash = await has_ended(work.replica)
+        depth_by_part = self._candidates(work.start, noticed_s)
+        emit(
+            REPLICA_CRASHED if is_crash else CRASH_NOT_CONFIRMED,
+            replica=work.replica.host,
+            service=work.replica.entry.service,
+            parts=len(depth_by_part),
+        )
+        if not is_crash:
+            self._inspection_by_start.pop(work.start)
+            return
+        crash = Crash(work.start, noticed_s, depth_by_part)
+        if depth_by_part and self._evidence.crashes.add(crash):
+            self._evaluate()
+            self._mirrors.push_findings()
+
+    def _candidates(
+        self, start: ReplicaStart, noticed_s: float
+    ) -> dict[str, int]:
+        """Return the parts in flight that have no fresh answer, by depth."""
+        answered = self._evidence.answered.answered_s_by_part
+        candidates = [
+            (part_id, depth)
+            for part_id, depth in self._work.depth_by_part(
+                start, noticed_s
+            ).items()
+            if noticed_s - answered.get(part_id, NEVER_S) > FRESH_ANSWER_S
+            and not self._evidence.is_allowed(part_id)
+        ]
+        return dict(candidates[:MAX_PARTS_PER_CRASH])
+
+    def _evaluate(self) -> None:
+        """Update the suspected parts; hold those that stay suspected."""
+        now_s = self._clock.boottime_s()
+        self._evidence.drop_old(now_s)
+        culprits = self._evidence.culprits(now_s)
+        for cleared in set(self._suspected_s_by_part).difference(culprits):
+            self._clear(cleared, now_s)
+        for part_id, crashes in culprits.items():
+            suspected_s = self._suspected_s_by_part.get(part_id)
+            if suspected_s is None:
+                self._suspect(part_id, crashes, now_s)
+            elif now_s - suspected_s >= SETTLE_S:
+                self._hold(part_id, crashes, now_s)
+
+    def _suspect(self, part_id: str, crashes: int, now_s: float) -> None:
+        self._suspected_s_by_part[part_id] = now_s
+        emit(
+            PART_SUSPECTED,
+            part=part_id,
+            crashes=crashes,
+            known_crashes=len(self._evidence.crashes.crashes),
+        )
+        asyncio.get_running_loop().call_later(SETTLE_S, self._evaluate)
+
+    def _clear(self, part_id: str, now_s: float) -> None:
+        suspected_s = self._suspected_s_by_part.pop(part_id)
+        emit(
+            PART_CLEARED,
+            part=part_id,
+            suspected_for_s=round(now_s - suspected_s, 3),
+        )
+
+    def _hold(self, part_id: str, crashes: int, now_s: float) -> None:
+        self._suspected_s_by_part.pop(part_id)
+        held = self._evidence.held.hold(part_id, crashes, now_s)
+        log_held(held, source='own evidence')
+        self._mirrors.push_findings()
+
+    def _on_finding(self, subject: str) -> None:
+        """Merge the findings of other daemons; pass on what is new."""
+        if subject != SUBJECT:
+            return
+        is_new = [
+            is_item_new
+            for received in self._mirrors.findings.received_for(SUBJECT)
+            for is_item_new in self._evidence.merge(received)
+        ]
+        if any(is_new):
+            self._mirrors.push_findings()
+        self._evaluate()
+
+    def _forget(self, replica: Replica) -> None:
+        self._work.forget(replica)
+        self._inspection_by_start.pop(start_of(replica), None)
+
+
+def find_quarantine(kernel: Kernel) -> QuarantineService:
+    """Return the quarantine service of a kernel."""
+    return kernel.find(COMPONENT, QuarantineService)
--- a/marigoldhoist/core/deployments.py
+++ b/marigoldhoist/core/deployments.py
@@ -20,5 +20,6 @@
         'gateway',
         'mirrors',
         'canary',
+        'quarantine',
     )
 )
--- a/marigoldhoist/core/errors.py
+++ b/marigoldhoist/core/errors.py
@@ -36,6 +36,7 @@
     NO_REPLICA = 'no_replica'
     OVER_LIMIT = 'over_limit'
     OVERLOADED = 'overloaded'
+    PROMPT_PART_HELD = 'prompt_part_held'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     DRAINING = 'draining'
     LOG_UNAVAILABLE = 'log_unavailable'
