Bound what a response may take of the daemon

Cause: a request has limits, a response had none. A faulty replica may send a head, interim responses, trailers, the body of a refusal or of a plain answer, an event, or answers to other requests without end; all of it was read until the deadline of the call, and most of it kept.

Change: 64 KiB received without a head or a part of a body make a response invalid; 8 MiB bound a body that is delivered whole, 1 MiB an event, 64 parts of other answers what is skipped. The body of a refusal is read for 0.25 s and 64 KiB only, to use the connection again; its head says not run in any case. A body of the store is bound by 16 MiB. Splitting events searches each byte once.

--- a/marigoldhoist/components/gateway/const.py
+++ b/marigoldhoist/components/gateway/const.py
@@ -33,6 +33,15 @@
 # The retry delay is at most this share of the time that the call has left.
 RETRY_AFTER_SHARE: Final = 0.3
 
+# Largest body of a response that is delivered as a whole. One of a refusal is
+# only read so that its connection can be used again.
+MAX_RESPONSE_BODY_BYTES: Final = 8 * 1024 * 1024
+MAX_REFUSAL_BODY_BYTES: Final = 64 * 1024
+# Time for the rest of a refusal, which the caller waits for.
+REFUSAL_BODY_TIMEOUT_S: Final = 0.25
+# Parts of responses to other requests that are skipped on one connection.
+MAX_SKIPPED_ITEMS: Final = 64
+
 # A call with less time left than this is not sent.
 MIN_SEND_TIME_LEFT_S: Final = 0.02
 
--- a/marigoldhoist/components/gateway/messages.py
+++ b/marigoldhoist/components/gateway/messages.py
@@ -15,6 +15,9 @@
 HEADER_FRAMING_BYTES: Final = 4
 NO_CONTENT_STATUSES: Final = frozenset((204, 304))
 FIRST_FINAL_STATUS: Final = 200
+# Received bytes of a response that contain neither a complete head nor a part
+# of a body: an incomplete head, interim responses or trailers.
+MAX_RESPONSE_OVERHEAD_BYTES: Final = 64 * 1024
 
 Header = tuple[bytes, bytes]
 
@@ -66,6 +69,7 @@
 
     def __init__(self) -> None:
         self.items: collections.deque[Item] = collections.deque()
+        self.item_count = 0
         self.head_bytes = 0
         self.is_in_head = True
         self._head = MessageHead([])
@@ -87,15 +91,19 @@
         """Queue the complete head; the body follows."""
         self.is_in_head = False
         self.head_bytes = 0
-        self.items.append(self._head)
+        self._queue(self._head)
 
     def on_body(self, body: bytes) -> None:
         """Queue a part of the body."""
-        self.items.append(body)
+        self._queue(body)
 
     def on_message_complete(self) -> None:
         """Queue the end of the message."""
-        self.items.append(End.OF_MESSAGE)
+        self._queue(End.OF_MESSAGE)
+
+    def _queue(self, item: Item) -> None:
+        self.item_count += 1
+        self.items.append(item)
 
 
 class RequestParser:
@@ -133,17 +141,31 @@
 
 
 class ResponseParser:
-    """Strict response parser; parsed items are appended to `items`."""
+    """Strict response parser; parsed items are appended to `items`.
+
+    Responses whose head, interim responses or trailers are too large are
+    invalid, as a faulty replica may send such bytes without end.
+    """
 
     def __init__(self) -> None:
         self._collector = _ResponseCollector()
         self._parser = httptools.HttpResponseParser(self._collector)
         self._collector.parser = self._parser
+        self._overhead_bytes = 0
         self.items = self._collector.items
 
     def feed(self, received: bytes) -> None:
         """Parse received bytes; raise HttpParserError on invalid responses."""
+        item_count = self._collector.item_count
         self._parser.feed_data(received)
+        if self._collector.item_count > item_count:
+            self._overhead_bytes = 0
+            return
+        self._overhead_bytes += len(received)
+        if self._overhead_bytes > MAX_RESPONSE_OVERHEAD_BYTES:
+            raise httptools.HttpParserError(
+                f'{self._overhead_bytes} bytes without a part of a response'
+            )
 
 
 class _ResponseCollector(_Collector):
--- a/marigoldhoist/components/gateway/sender.py
+++ b/marigoldhoist/components/gateway/sender.py
@@ -1,5 +1,6 @@
 """Send a call to one replica and read its response."""
 
+import asyncio
 import contextlib
 import random
 from collections.abc import AsyncIterator, Callable, Iterator
@@ -9,6 +10,12 @@
 )
 from marigoldhoist.components.directory.models import LoadReport, Replica
 from marigoldhoist.components.directory.service import DirectoryService
+from marigoldhoist.components.gateway.const import (
+    MAX_REFUSAL_BODY_BYTES,
+    MAX_RESPONSE_BODY_BYTES,
+    MAX_SKIPPED_ITEMS,
+    REFUSAL_BODY_TIMEOUT_S,
+)
 from marigoldhoist.components.gateway.errors import (
     AttemptError,
     ConnectionClosedError,
@@ -99,9 +106,19 @@
         self._is_complete = item is End.OF_MESSAGE
         return item
 
-    async def body(self) -> bytes:
-        """Return the whole body; raise AttemptError if it is truncated."""
-        return b''.join([chunk async for chunk in self.chunks()])
+    async def body(self, max_bytes: int = MAX_RESPONSE_BODY_BYTES) -> bytes:
+        """Return the whole body.
+
+        Raise AttemptError if it is truncated or larger than `max_bytes`.
+        """
+        body = bytearray()
+        async for chunk in self.chunks():
+            body += chunk
+            if len(body) > max_bytes:
+                raise AttemptError(
+                    f'answer of over {max_bytes} bytes', Verdict.MAY_HAVE_RUN
+                )
+        return bytes(body)
 
     def release(self, pool: ReplicaPool) -> None:
         """Return the connection to the pool if reusable, else abort it."""
@@ -203,8 +220,10 @@
         self, connection: ReplicaConnection, request_id: str
     ) -> tuple[MessageHead, ResponseMetadata]:
         """Return the head that matches the request id, skipping others."""
-        while True:
+        skipped = 0
+        while skipped < MAX_SKIPPED_ITEMS:
             item = await connection.next_item()
+            skipped += 1
             if not isinstance(item, MessageHead):
                 continue
             metadata = self._dialect.parse_response_metadata(item)
@@ -215,6 +234,7 @@
                 request_id=request_id,
                 came_for=metadata.request_id,
             )
+        raise MalformedMessageError('responses to other requests only')
 
     def _record_metadata(
         self,
@@ -242,13 +262,23 @@
             self._directory.note_replaced(response.replica)
             raise AttemptError('another replica answered', Verdict.NOT_RUN)
         if response.metadata.was_not_run:
-            await response.body()
+            await _skip_refusal_body(response)
             raise AttemptError('replica refused', Verdict.NOT_RUN)
         reason = _rejection_reason(response)
         if reason:
             raise AttemptError(reason, Verdict.MAY_HAVE_RUN)
 
 
+async def _skip_refusal_body(response: ReplicaResponse) -> None:
+    """Read the body of a refusal; without its end the connection is closed.
+
+    What the head says holds whatever becomes of the body.
+    """
+    with contextlib.suppress(AttemptError, TimeoutError):
+        async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
+            await response.body(MAX_REFUSAL_BODY_BYTES)
+
+
 def _rejection_reason(response: ReplicaResponse) -> str:
     """Return why a response must not be delivered, empty if it may be."""
     metadata = response.metadata
--- a/marigoldhoist/components/gateway/splitter.py
+++ b/marigoldhoist/components/gateway/splitter.py
@@ -4,8 +4,11 @@
 from collections.abc import Iterator
 from typing import Final
 
+from marigoldhoist.components.gateway.errors import MalformedMessageError
+
 EVENT_END: Final = b'\n\n'
 ID_FIELD: Final = b'id:'
+MAX_EVENT_BYTES: Final = 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -20,7 +23,7 @@
     """Buffers the bytes of an event until it is complete."""
 
     def __init__(self) -> None:
-        self._buffer = b''
+        self._buffer = bytearray()
 
     @property
     def has_partial_event(self) -> bool:
@@ -28,11 +31,23 @@
         return bool(self._buffer)
 
     def feed(self, received: bytes) -> Iterator[StreamEvent]:
-        """Yield the events that the received bytes complete."""
-        *complete, rest = (self._buffer + received).split(EVENT_END)
-        self._buffer = rest
-        for raw in complete:
-            yield StreamEvent(_event_number(raw), raw + EVENT_END)
+        """Yield the events that the received bytes complete.
+
+        Raise MalformedMessageError if an event is too large.
+        """
+        # An end may begin in the bytes that were searched before.
+        search_from = max(0, len(self._buffer) - len(EVENT_END) + 1)
+        self._buffer += received
+        end = self._buffer.find(EVENT_END, search_from)
+        while end >= 0:
+            raw = bytes(self._buffer[: end + len(EVENT_END)])
+            del self._buffer[: len(raw)]
+            yield StreamEvent(_event_number(raw), raw)
+            end = self._buffer.find(EVENT_END)
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise MalformedMessageError(
+                f'event of over {MAX_EVENT_BYTES} bytes'
+            )
 
 
 def _event_number(raw: bytes) -> int:
--- a/marigoldhoist/components/gateway/stream_delivery.py
+++ b/marigoldhoist/components/gateway/stream_delivery.py
@@ -1,6 +1,6 @@
 """Deliver streams event by event, resuming at another replica on failure."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 from marigoldhoist.components.configuration.models import RequestKind, Route
 from marigoldhoist.components.gateway.attempts import Attempts
@@ -9,7 +9,10 @@
     ResponseWriter,
     register_delivery,
 )
-from marigoldhoist.components.gateway.errors import AttemptError
+from marigoldhoist.components.gateway.errors import (
+    AttemptError,
+    MalformedMessageError,
+)
 from marigoldhoist.components.gateway.event_interval import EventIntervalMeter
 from marigoldhoist.components.gateway.events import MODEL_RAISED
 from marigoldhoist.components.gateway.messages import LAST_CHUNK
@@ -73,7 +76,7 @@
         splitter = EventSplitter()
         meter = EventIntervalMeter()
         async for chunk in response.chunks():
-            for event in splitter.feed(chunk):
+            for event in _complete_events(splitter, chunk):
                 interval_s = meter.record_event(response.body_wait_s)
                 if interval_s is not None:
                     self._attempts.record_event_interval(response, interval_s)
@@ -151,3 +154,13 @@
         progress.tried_hosts.clear()
         progress.verdict = Verdict.RAN
         return True
+
+
+def _complete_events(
+    splitter: EventSplitter, chunk: bytes
+) -> Iterator[StreamEvent]:
+    """Yield events; raise AttemptError if one is too large."""
+    try:
+        yield from splitter.feed(chunk)
+    except MalformedMessageError as error:
+        raise AttemptError(str(error), Verdict.MAY_HAVE_RUN) from error
--- a/marigoldhoist/platform/store.py
+++ b/marigoldhoist/platform/store.py
@@ -53,6 +53,9 @@
 # The topic does not end at the offset that an append expects.
 CONFLICT_STATUSES: Final = frozenset((409, 412))
 
+# A read returns at most 1 MiB of records, a page of the newest 1 MB of values.
+MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+
 # A read response starts with the end offset and the first retained offset.
 OFFSETS_HEADER: Final = struct.Struct('>QQ')
 # Each record is prefixed with its length in bytes.
@@ -240,13 +243,15 @@
     head = await connection.next_item()
     if not isinstance(head, MessageHead):
         raise MalformedMessageError('a body without a head')
-    parts: list[bytes] = []
+    body = bytearray()
     item = await connection.next_item()
     while item is not End.OF_MESSAGE:
         if isinstance(item, bytes):
-            parts.append(item)
+            body += item
+        if len(body) > MAX_BODY_BYTES:
+            raise MalformedMessageError(f'body of over {MAX_BODY_BYTES} bytes')
         item = await connection.next_item()
-    return head, b''.join(parts)
+    return head, bytes(body)
 
 
 def _request_target(
