Test the quarantine over several daemons and for other causes

Replicas that reset connections while they live, and replicas that all end at one moment, hold no part back. The log lines name the ages of the crashes, and script/explain keeps the newest line of each part.

--- a/marigoldhoist/components/quarantine/const.py
+++ b/marigoldhoist/components/quarantine/const.py
@@ -37,6 +37,8 @@
 MAX_PARTS_PER_CALL: Final = 32
 MAX_PARTS_PER_CRASH: Final = 128
 MAX_CRASHES: Final = 32
+# Parts that the log line of a crash names.
+MAX_LOGGED_PARTS: Final = 8
 MAX_HELD_PARTS: Final = 256
 # Longer part ids are replaced by a hash.
 MAX_PART_ID_LENGTH: Final = 32
--- a/marigoldhoist/components/quarantine/evidence.py
+++ b/marigoldhoist/components/quarantine/evidence.py
@@ -45,6 +45,15 @@
         """Return the number of parts that are held back now."""
         return len(self.held.active_ids(self._clock.boottime_s()))
 
+    def log_fields(self, now_s: float) -> dict[str, object]:
+        """Return log fields with the number and the ages of the crashes."""
+        ages_s = [now_s - crash.at_s for crash in self.crashes.crashes]
+        return {
+            'known_crashes': len(ages_s),
+            'oldest_crash_age_s': round(max(ages_s, default=0), 3),
+            'newest_crash_age_s': round(min(ages_s, default=0), 3),
+        }
+
     def is_allowed(self, part_id: str) -> bool:
         """Return whether the operator has lifted a part."""
         return part_id in self._allowed
--- a/marigoldhoist/components/quarantine/service.py
+++ b/marigoldhoist/components/quarantine/service.py
@@ -11,6 +11,7 @@
 from marigoldhoist.components.quarantine.const import (
     COMPONENT,
     FRESH_ANSWER_S,
+    MAX_LOGGED_PARTS,
     MAX_PARTS_PER_CRASH,
     SETTLE_S,
     SUBJECT,
@@ -124,9 +125,11 @@
             replica=work.replica.host,
             service=work.replica.entry.service,
             parts=len(depth_by_part),
+            first_parts=list(depth_by_part)[:MAX_LOGGED_PARTS],
         )
+        if not is_crash or work.replica.is_gone:
+            self._inspection_by_start.pop(work.start, None)
         if not is_crash:
-            self._inspection_by_start.pop(work.start)
             return
         crash = Crash(work.start, noticed_s, depth_by_part)
         if depth_by_part and self._evidence.crashes.add(crash):
@@ -168,7 +171,7 @@
             PART_SUSPECTED,
             part=part_id,
             crashes=crashes,
-            known_crashes=len(self._evidence.crashes.crashes),
+            **self._evidence.log_fields(now_s),
         )
         asyncio.get_running_loop().call_later(SETTLE_S, self._evaluate)
 
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -55,6 +55,7 @@
             route('unsafe', kind='unsafe', max_attempts=1),
             route('unsafe2', kind='unsafe', max_attempts=2),
             route('stream', sizes=list(MODELS), max_attempts=3, **stream),
+            route('once', sizes=list(MODELS), max_attempts=1, **stream),
         ],
         'services': [{'name': 'plain'}, {'name': 'model'}],
         'tenants': [{'name': 'w1', 'api_keys': [KEY], 'priority': 1}],
@@ -122,7 +123,8 @@
 class GatewayHarness:
     """A gateway with its store and its replicas."""
 
-    def __init__(self) -> None:
+    def __init__(self, name: str = 'd1') -> None:
+        self.name = name
         self.store = StandInStore()
         self.replica_by_name: dict[str, StandInReplica] = {}
         self.crashing_parts: frozenset[str] = frozenset()
@@ -148,16 +150,26 @@
             ('e2', 'model'),
         ):
             await self.add_replica(name, service)
+        await self.start_daemon()
+
+    async def join(self, other: 'GatewayHarness') -> None:
+        """Start a daemon beside another one, with its store and replicas."""
+        self.store = other.store
+        self.replica_by_name = other.replica_by_name
+        await self.start_daemon(other.peers)
+
+    async def start_daemon(self, *seeds: str) -> None:
+        """Start the daemon and wait until it is ready."""
         self.kernel = start_kernel(
             {
-                'daemon': daemon_section('d1'),
+                'daemon': daemon_section(self.name),
                 'gateway': {
                     'callers': self.address,
                     'readiness': self.readiness,
                     'metrics': self.metrics,
                     'stop_grace_ms': 4000,
                 },
-                'mirrors': {'address': self.peers},
+                'mirrors': {'address': self.peers, 'seeds': list(seeds)},
                 'store': {'address': self.store.address},
                 'promises': {'repeat_ratio': 5},
             }
@@ -203,11 +215,11 @@
         writer.close()
         return CallerResponse(received)
 
-    async def stream(self, **headers: str) -> CallerResponse:
+    async def stream(
+        self, path: str = '/stream/x', **headers: str
+    ) -> CallerResponse:
         """Request a stream and read the response to its end."""
-        return await self.call(
-            '/stream/x', Model='*', Token_Count='100,10', **headers
-        )
+        return await self.call(path, Model='*', Token_Count='100,10', **headers)
 
     def run_count(self, name_prefix: str = '') -> int:
         """Return how many requests ran at replicas with a name prefix."""
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import json
 from collections.abc import AsyncIterator
 
 from tests.platform.harness import (
@@ -10,7 +11,7 @@
     GatewayHarness,
     running_gateway,
 )
-from tools.platform_standins.replica import StandInReplica
+from tools.platform_standins.replica import ReplicaFault, StandInReplica
 from tools.platform_standins.store import REPLICAS_TOPIC
 
 SHARED_PART = 'aaaa01'
@@ -42,6 +43,18 @@
     return await harness.stream(Prefix_Hash=prompt(*part_ids))
 
 
+async def call_once(harness: GatewayHarness, *part_ids: str) -> CallerResponse:
+    """Request a stream that is sent to one replica at most."""
+    return await harness.stream('/once/x', Prefix_Hash=prompt(*part_ids))
+
+
+def refusal_code(response: CallerResponse) -> str:
+    """Return the error code of a refusal, empty for an answer."""
+    if response.status < 400:
+        return ''
+    return str(json.loads(response.body)['code'])
+
+
 class CrashingFleet:
     """Model replicas that crash and are back under other names."""
 
@@ -80,6 +93,7 @@
                     await self.harness.store.put_raw(
                         REPLICAS_TOPIC, replica.name, b''
                     )
+                    self.harness.replica_by_name.pop(replica.name)
                     await self._add()
             await asyncio.sleep(0.01)
 
@@ -144,3 +158,90 @@
         later, served_share = asyncio.run(scenario())
         assert later <= MAX_LATER_ARRIVALS
         assert served_share >= MIN_SERVED_SHARE
+
+    def test_refusal_says_that_the_request_did_not_run(self) -> None:
+        async def scenario() -> CallerResponse:
+            async with crashing_fleet() as fleet:
+                await call_model(fleet.harness, SHARED_PART, CRASHING_PART)
+                await asyncio.sleep(RESTART_S * 3)
+                return await call_model(
+                    fleet.harness, SHARED_PART, CRASHING_PART
+                )
+
+        response = asyncio.run(scenario())
+        assert response.status == 503
+        assert refusal_code(response) == 'prompt_part_held'
+        assert json.loads(response.body)['verdict'] == 'not_run'
+        assert float(response.headers['retry-after']) > 0
+
+
+class TestSeveralDaemons:
+    """No daemon has seen enough crashes by itself."""
+
+    def test_agree_on_the_part(self) -> None:
+        async def scenario() -> tuple[list[str], int]:
+            async with crashing_fleet() as fleet:
+                other = GatewayHarness('d2')
+                await other.join(fleet.harness)
+                for daemon in (fleet.harness, other, fleet.harness):
+                    await call_once(daemon, SHARED_PART, CRASHING_PART)
+                await asyncio.sleep(CONTACT_S / 2)
+                before = fleet.crashing_arrivals
+                codes = [
+                    refusal_code(
+                        await call_once(daemon, SHARED_PART, CRASHING_PART)
+                    )
+                    for daemon in (fleet.harness, other)
+                ]
+                other.kernel.stop()
+                return codes, fleet.crashing_arrivals - before
+
+        assert asyncio.run(scenario()) == (['prompt_part_held'] * 2, 0)
+
+    def test_one_that_starts_later_learns_of_the_part(self) -> None:
+        async def scenario() -> str:
+            async with crashing_fleet() as fleet:
+                await call_model(fleet.harness, SHARED_PART, CRASHING_PART)
+                await asyncio.sleep(CONTACT_S / 2)
+                other = GatewayHarness('d2')
+                await other.join(fleet.harness)
+                await asyncio.sleep(CONTACT_S / 2)
+                response = await call_once(other, SHARED_PART, CRASHING_PART)
+                other.kernel.stop()
+                return refusal_code(response)
+
+        assert asyncio.run(scenario()) == 'prompt_part_held'
+
+
+class TestOtherCauses:
+    """Connections that are lost for other reasons hold no part back."""
+
+    def test_replicas_that_reset_connections(self) -> None:
+        async def scenario() -> CallerResponse:
+            async with running_gateway() as harness:
+                for _ in range(CRASHES):
+                    for name in ('e1', 'e2'):
+                        replica = harness.replica_by_name[name]
+                        replica.faults.append(ReplicaFault.TORN)
+                    await call_once(harness, SHARED_PART, CRASHING_PART)
+                for name in ('e1', 'e2'):
+                    harness.replica_by_name[name].faults.clear()
+                return await call_once(harness, SHARED_PART, CRASHING_PART)
+
+        assert asyncio.run(scenario()).is_complete
+
+    def test_replicas_that_end_at_one_moment(self) -> None:
+        async def scenario() -> CallerResponse:
+            async with crashing_fleet() as fleet:
+                calls = [
+                    asyncio.create_task(call_once(fleet.harness, 'b1', 'b2'))
+                    for _ in range(REPLICAS * 3)
+                ]
+                await asyncio.sleep(0.03)
+                for replica in tuple(fleet.replicas):
+                    replica.crash()
+                await asyncio.gather(*calls)
+                await asyncio.sleep(RESTART_S * (REPLICAS + 1))
+                return await call_once(fleet.harness, 'b1', 'b2')
+
+        assert asyncio.run(scenario()).is_complete
--- a/tools/explain/lines.py
+++ b/tools/explain/lines.py
@@ -17,7 +17,7 @@
     )
 )
 # Fields that identify the object whose state a log event changes.
-STATE_KEY_FIELDS: Final = ('topic', 'service', 'replica', 'peer')
+STATE_KEY_FIELDS: Final = ('topic', 'service', 'replica', 'peer', 'part')
 # Fields of every log line, which are not repeated in its list of fields.
 COMMON_FIELDS: Final = frozenset(
     (
