Store the prompt parts that are held back

Cause: what daemons know of crashes lived in their memory alone. When all are killed at once, a part that was held back is sent to replicas again, and three more crash. All hosts may be replaced, and what must last lives in the store.

Change: a reader of a failure domain that finds a part appends it to a topic of its own; each daemon reads that topic once at its start and then learns from the others.

Evidence: TestAllDaemonsReplaced (the topic did not exist before): a daemon that starts after the only other one has gone refuses the part.

--- a/marigoldhoist/components/feeds/models.py
+++ b/marigoldhoist/components/feeds/models.py
@@ -6,11 +6,12 @@
 
 
 class Topic(enum.Enum):
-    """The topics of the store that the gateway reads."""
+    """The topics of the store that the gateway uses."""
 
     OPERATOR = 'operator'
     REPLICAS = 'replicas'
     STATUS = 'status'
+    QUARANTINE = 'quarantine'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/marigoldhoist/components/mirrors/service.py
+++ b/marigoldhoist/components/mirrors/service.py
@@ -94,6 +94,11 @@
             self._server.close()
         self._client.close()
 
+    @property
+    def is_reader(self) -> bool:
+        """Return whether this daemon reads the store for its domain."""
+        return self.membership.select_readers(READERS_PER_DOMAIN) is None
+
     def push_findings(self) -> None:
         """Send the findings soon to the daemons that pass them on."""
         self._pusher.request()
--- a/marigoldhoist/components/quarantine/const.py
+++ b/marigoldhoist/components/quarantine/const.py
@@ -33,6 +33,9 @@
 FIRST_HOLD_S: Final = 600.0
 MAX_HOLD_S: Final = 86_400.0
 
+# Pause before the store is asked again after a call failed.
+STORAGE_RETRY_S: Final = 1.0
+
 MAX_ANSWERED_PARTS: Final = 8192
 MAX_PARTS_PER_CALL: Final = 32
 MAX_PARTS_PER_CRASH: Final = 128
--- a/marigoldhoist/components/quarantine/events.py
+++ b/marigoldhoist/components/quarantine/events.py
@@ -48,3 +48,27 @@
     'warning',
     'What another daemon reported of crashes was not valid.',
 )
+HELD_PARTS_READ = declare_event(
+    4008,
+    'held_parts_read',
+    'info',
+    'The prompt parts that daemons had stored as held back were read.',
+)
+HELD_PARTS_NOT_READ = declare_event(
+    4009,
+    'held_parts_not_read',
+    'warning',
+    'The stored prompt parts could not be read; it is tried again.',
+)
+PART_STORED = declare_event(
+    4010,
+    'prompt_part_stored',
+    'info',
+    'A prompt part that is held back was stored.',
+)
+PART_NOT_STORED = declare_event(
+    4011,
+    'prompt_part_not_stored',
+    'warning',
+    'A prompt part that is held back could not be stored; it is tried again.',
+)
--- a/marigoldhoist/components/quarantine/evidence.py
+++ b/marigoldhoist/components/quarantine/evidence.py
@@ -103,16 +103,21 @@
             if not is_expired(crash, now_s):
                 yield self.crashes.add(crash)
         for held in held_of(finding, created_s):
-            is_over = held.is_forgotten(now_s) or self.is_allowed(held.part_id)
-            if not is_over:
-                yield self._merge_held(held)
+            yield self.merge_held(held)
 
     def drop_old(self, now_s: float) -> None:
         """Forget what is too old to count."""
         self.crashes.drop_expired(now_s)
         self.held.drop_forgotten(now_s)
 
-    def _merge_held(self, held: HeldPart) -> bool:
+    def merge_held(self, held: HeldPart) -> bool:
+        """Take over a part that another daemon holds or has stored.
+
+        Return whether it is new.
+        """
+        now_s = self._clock.boottime_s()
+        if held.is_forgotten(now_s) or self.is_allowed(held.part_id):
+            return False
         is_new = self.held.merge(held)
         if is_new:
             log_held(held, source='another daemon')
--- a/marigoldhoist/components/quarantine/models.py
+++ b/marigoldhoist/components/quarantine/models.py
@@ -18,6 +18,8 @@
 AgeSeconds = Annotated[float, msgspec.Meta(ge=0, le=10 * MAX_HOLD_S)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 
+TimesHeld = Annotated[int, msgspec.Meta(ge=1, le=64)]
+
 # Host and start time of a replica.
 ReplicaStart = tuple[str, int]
 
@@ -39,7 +41,7 @@
     part_id: PartId
     age_s: AgeSeconds
     crashes: Count
-    times_held: Annotated[int, msgspec.Meta(ge=1, le=64)]
+    times_held: TimesHeld
 
 
 class QuarantineFinding(msgspec.Struct, frozen=True, array_like=True):
--- a/marigoldhoist/components/quarantine/service.py
+++ b/marigoldhoist/components/quarantine/service.py
@@ -6,6 +6,7 @@
 from marigoldhoist.components.directory.const import COMPONENT as DIRECTORY
 from marigoldhoist.components.directory.models import Replica
 from marigoldhoist.components.directory.service import DirectoryService
+from marigoldhoist.components.feeds.service import FeedService
 from marigoldhoist.components.mirrors.const import COMPONENT as MIRRORS
 from marigoldhoist.components.mirrors.service import MirrorService
 from marigoldhoist.components.quarantine.const import (
@@ -30,6 +31,7 @@
 from marigoldhoist.components.quarantine.inspection import has_ended
 from marigoldhoist.components.quarantine.models import Crash, ReplicaStart
 from marigoldhoist.components.quarantine.settings import QuarantineSettings
+from marigoldhoist.components.quarantine.storage import HeldPartStorage
 from marigoldhoist.components.quarantine.work import (
     Work,
     WorkTracker,
@@ -54,6 +56,8 @@
         self._evidence = SharedEvidence(settings, clock)
         self._suspected_s_by_part: dict[str, float] = {}
         self._inspection_by_start: dict[ReplicaStart, asyncio.Task[None]] = {}
+        self._storage: HeldPartStorage | None = None
+        self._storage_task: asyncio.Task[None] | None = None
         directory = kernel.find(DIRECTORY, DirectoryService)
         directory.on_gone(self._forget)
         if not settings.is_enabled:
@@ -66,10 +70,23 @@
             'Prompt parts whose requests are refused, as they crash replicas.',
         ).set_function(lambda: self._evidence.held_count)
 
+    def attach(self, feeds: FeedService) -> None:
+        """Read the stored parts and begin to store those that are found."""
+        if not self._is_enabled:
+            return
+        self._storage = HeldPartStorage(
+            feeds, self._clock, self._evidence.merge_held
+        )
+        self._storage_task = asyncio.get_running_loop().create_task(
+            self._storage.run()
+        )
+
     def stop(self) -> None:
-        """Cancel the inspections."""
+        """Cancel the inspections and the storage."""
         for inspection in self._inspection_by_start.values():
             inspection.cancel()
+        if self._storage_task is not None:
+            self._storage_task.cancel()
 
     def begin(self, replica: Replica, part_ids: tuple[str, ...]) -> Work:
         """Track an attempt that is sent now; `end` must follow."""
@@ -187,6 +204,9 @@
         self._suspected_s_by_part.pop(part_id)
         held = self._evidence.held.hold(part_id, crashes, now_s)
         log_held(held, source='own evidence')
+        # The readers find it as well; one record for each domain is enough.
+        if self._storage is not None and self._mirrors.is_reader:
+            self._storage.put(held)
         self._mirrors.push_findings()
 
     def _on_finding(self, subject: str) -> None:
--- a/marigoldhoist/platform/attach.py
+++ b/marigoldhoist/platform/attach.py
@@ -16,6 +16,7 @@
 from marigoldhoist.components.feeds.service import FeedService
 from marigoldhoist.components.gateway.const import COMPONENT as GATEWAY
 from marigoldhoist.components.gateway.service import GatewayService
+from marigoldhoist.components.quarantine.service import find_quarantine
 from marigoldhoist.core.errors import SettingsError
 from marigoldhoist.core.kernel import Kernel
 from marigoldhoist.platform.dialect import PlatformDialect
@@ -49,6 +50,7 @@
     canary.attach(
         StatusTopicHandler(canary).handle_update, encode_roll_out_status
     )
+    find_quarantine(kernel).attach(feeds)
     kernel.find(GATEWAY, GatewayService).attach(PlatformDialect())
     operator = OperatorTopicHandler(configuration, canary)
     feeds.follow(OPERATOR_PLAN, operator.handle_update)
--- a/marigoldhoist/platform/store.py
+++ b/marigoldhoist/platform/store.py
@@ -46,6 +46,7 @@
     Topic.OPERATOR: 'keyed.op',
     Topic.REPLICAS: 'keyed.servers',
     Topic.STATUS: 'keyed.status',
+    Topic.QUARANTINE: 'keyed.quarantine',
 }
 HTTP_OK: Final = 200
 # The requested offset is no longer retained.
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -11,8 +11,9 @@
     GatewayHarness,
     running_gateway,
 )
+from tests.platform.test_restored_store import wait_until
 from tools.platform_standins.replica import ReplicaFault, StandInReplica
-from tools.platform_standins.store import REPLICAS_TOPIC
+from tools.platform_standins.store import QUARANTINE_TOPIC, REPLICAS_TOPIC
 
 SHARED_PART = 'aaaa01'
 CRASHING_PART = 'dead01'
@@ -213,6 +214,28 @@
         assert asyncio.run(scenario()) == 'prompt_part_held'
 
 
+class TestAllDaemonsReplaced:
+    """Every daemon that knew of a part is gone."""
+
+    def test_part_is_still_held_back(self) -> None:
+        async def scenario() -> str:
+            async with crashing_fleet() as fleet:
+                harness = fleet.harness
+                await call_model(harness, SHARED_PART, CRASHING_PART)
+                stored = harness.store.topic_by_name[QUARANTINE_TOPIC]
+                await wait_until(lambda: CRASHING_PART in stored.latest_by_key)
+                harness.kernel.stop()
+                other = GatewayHarness('d2')
+                other.store = harness.store
+                other.replica_by_name = harness.replica_by_name
+                await other.start_daemon()
+                response = await call_once(other, SHARED_PART, CRASHING_PART)
+                other.kernel.stop()
+                return refusal_code(response)
+
+        assert asyncio.run(scenario()) == 'prompt_part_held'
+
+
 class TestOtherCauses:
     """Connections that are lost for other reasons hold no part back."""
 
--- a/tools/platform_standins/store.py
+++ b/tools/platform_standins/store.py
@@ -19,6 +19,7 @@
 OPERATOR_TOPIC: Final = 'keyed.op'
 REPLICAS_TOPIC: Final = 'keyed.servers'
 STATUS_TOPIC: Final = 'keyed.status'
+QUARANTINE_TOPIC: Final = 'keyed.quarantine'
 
 # End and first offset at the head of a read response, then the records, each
 # preceded by its length.
@@ -85,7 +86,12 @@
         super().__init__()
         self.topic_by_name: dict[str, TopicLog] = {
             name: TopicLog()
-            for name in (OPERATOR_TOPIC, REPLICAS_TOPIC, STATUS_TOPIC)
+            for name in (
+                OPERATOR_TOPIC,
+                REPLICAS_TOPIC,
+                STATUS_TOPIC,
+                QUARANTINE_TOPIC,
+            )
         }
         self.fault = StoreFault.NONE
         self.delay_s: float = 0
