--- a/marigoldhoist/components/quarantine/const.py
+++ b/marigoldhoist/components/quarantine/const.py
@@ -38,8 +38,8 @@
 
 MAX_ANSWERED_PARTS: Final = 8192
 MAX_PARTS_PER_CALL: Final = 32
-MAX_PARTS_PER_CRASH: Final = 128
-MAX_CRASHES: Final = 32
+MAX_PARTS_PER_CRASH: Final = 64
+MAX_CRASHES: Final = 24
 # Parts that the log line of a crash names.
 MAX_LOGGED_PARTS: Final = 8
 MAX_HELD_PARTS: Final = 256
