Clear the prompt parts of streams that go on

Only a complete answer cleared a part, and while replicas crash few streams come to their end.

Change: a part that crashes replicas does so when an answer begins. A stream that has sent events for 1 s counts as an answer for its parts.

Test: test_replicas_that_end_while_streams_go_on, which fails without the change of stream_delivery.py.

--- a/marigoldhoist/components/gateway/attempts.py
+++ b/marigoldhoist/components/gateway/attempts.py
@@ -43,7 +43,7 @@
     def __init__(self, progress: CallProgress, context: GatewayContext) -> None:
         self._progress = progress
         self._context = context
-        self._part_guard = PartGuard(progress, context.quarantine)
+        self.part_guard = PartGuard(progress, context.quarantine)
 
     def admit(self) -> AdmittedCall:
         """Return the admitted call; raise RefusedError if it is refused."""
@@ -54,7 +54,7 @@
             progress.service = admitted.service
             progress.route_name = admitted.route.name
             progress.route_timeout_s = admitted.route.timeout_s
-            failure = self._part_guard.held_part_failure()
+            failure = self.part_guard.held_part_failure()
             if failure is None:
                 return admitted
         else:
@@ -86,7 +86,7 @@
             progress.last_event_id,
             self.expected_first_event_s(progress.model) or 0,
         )
-        with self._part_guard.tracked(replica):
+        with self.part_guard.tracked(replica):
             async with self._context.sender.send(
                 progress.call,
                 forwarding,
@@ -120,7 +120,7 @@
         else:
             replica.note_success(now_s)
             if is_complete:
-                self._part_guard.record_answer()
+                self.part_guard.record_answer()
             if prompt is not None:
                 self._context.picker.record_prefill(
                     replica, progress.model, prompt, response.time_to_head_s
--- a/marigoldhoist/components/gateway/part_guard.py
+++ b/marigoldhoist/components/gateway/part_guard.py
@@ -27,13 +27,13 @@
 
     def held_part_failure(self) -> RequestFailure | None:
         """Return the refusal of a call with a held part, None for others."""
-        part_id = self._quarantine.held_part(self._part_ids)
-        if part_id is None:
+        hold = self._quarantine.find_hold(self._part_ids)
+        if hold is None:
             return None
         return RequestFailure(
             ErrorCode.PROMPT_PART_HELD,
-            f'prompt part {part_id} crashes replicas',
-            retry_after_s=self._quarantine.retry_after_s(part_id),
+            f'prompt part {hold.part_id} crashes replicas',
+            retry_after_s=hold.left_s,
         )
 
     @contextlib.contextmanager
@@ -50,6 +50,11 @@
         finally:
             self._quarantine.end(work)
 
+    def record_event(self) -> None:
+        """Record a stream event of the current attempt."""
+        if self._work is not None:
+            self._quarantine.record_event(self._work)
+
     def record_answer(self) -> None:
         """Record that the current attempt was answered completely."""
         if self._work is not None:
--- a/marigoldhoist/components/gateway/stream_delivery.py
+++ b/marigoldhoist/components/gateway/stream_delivery.py
@@ -77,6 +77,7 @@
         meter = EventIntervalMeter()
         async for chunk in response.chunks():
             for event in _complete_events(splitter, chunk):
+                self._attempts.part_guard.record_event()
                 interval_s = meter.record_event(response.body_wait_s)
                 if interval_s is not None:
                     self._attempts.record_event_interval(response, interval_s)
--- a/marigoldhoist/components/quarantine/const.py
+++ b/marigoldhoist/components/quarantine/const.py
@@ -17,6 +17,8 @@
 SAME_MOMENT_S: Final = 0.02
 # An answer speaks for the parts of its prompt for this long.
 ANSWER_MEMORY_S: Final = 30.0
+# A replica that sends events for this long does not crash on the prompt.
+SURVIVAL_S: Final = 1.0
 # A part that was answered within this time is no candidate of a crash.
 FRESH_ANSWER_S: Final = 1.0
 # Crashes are forgotten after this time.
--- a/marigoldhoist/components/quarantine/models.py
+++ b/marigoldhoist/components/quarantine/models.py
@@ -72,6 +72,14 @@
     depth_by_part: dict[str, int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hold:
+    """A part for which a call is refused, and the seconds that this lasts."""
+
+    part_id: str
+    left_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeldPart:
     """A part that crashed replicas, held back since a boot time."""
--- a/marigoldhoist/components/quarantine/service.py
+++ b/marigoldhoist/components/quarantine/service.py
@@ -16,6 +16,7 @@
     MAX_PARTS_PER_CRASH,
     SETTLE_S,
     SUBJECT,
+    SURVIVAL_S,
 )
 from marigoldhoist.components.quarantine.culprits import NEVER_S
 from marigoldhoist.components.quarantine.events import (
@@ -29,7 +30,7 @@
     log_held,
 )
 from marigoldhoist.components.quarantine.inspection import has_ended
-from marigoldhoist.components.quarantine.models import Crash, ReplicaStart
+from marigoldhoist.components.quarantine.models import Crash, Hold, ReplicaStart
 from marigoldhoist.components.quarantine.settings import QuarantineSettings
 from marigoldhoist.components.quarantine.storage import HeldPartStorage
 from marigoldhoist.components.quarantine.work import (
@@ -104,6 +105,17 @@
         if work.is_answered:
             self._evidence.record_answer(work.part_ids, now_s)
 
+    def record_event(self, work: Work) -> None:
+        """Record a stream event; one that comes late clears the parts."""
+        if work.is_answered or not work.part_ids:
+            return
+        now_s = self._clock.boottime_s()
+        if work.first_event_s is None:
+            work.first_event_s = now_s
+        elif now_s - work.first_event_s >= SURVIVAL_S:
+            work.is_answered = True
+            self._evidence.record_answer(work.part_ids, now_s)
+
     def inspect(self, work: Work) -> None:
         """Find out whether a replica that lost a connection has crashed."""
         is_planned = work.replica.entry.is_draining or work.replica.is_leaving
@@ -115,23 +127,18 @@
             asyncio.get_running_loop().create_task(self._run_inspection(work))
         )
 
-    def held_part(self, part_ids: Iterable[str]) -> str | None:
-        """Return the part for which a call is refused, None if it is not."""
-        held = self._evidence.held.active_ids(self._clock.boottime_s())
-        return next(
-            (
-                part_id
-                for part_id in part_ids
-                if part_id in held or part_id in self._suspected_s_by_part
-            ),
-            None,
-        )
-
-    def retry_after_s(self, part_id: str) -> float:
-        """Return the seconds after which a call with a part may be sent."""
-        held = self._evidence.held.held_by_part.get(part_id)
-        left_s = held.left_s(self._clock.boottime_s()) if held else 0
-        return max(SETTLE_S, left_s)
+    def find_hold(self, part_ids: Iterable[str]) -> Hold | None:
+        """Return why a call with the parts is refused, None if it is not."""
+        now_s = self._clock.boottime_s()
+        held = self._evidence.held
+        active_ids = held.active_ids(now_s)
+        for part_id in part_ids:
+            if part_id in active_ids:
+                left_s = held.held_by_part[part_id].left_s(now_s)
+                return Hold(part_id, left_s)
+            if part_id in self._suspected_s_by_part:
+                return Hold(part_id, SETTLE_S)
+        return None
 
     async def _run_inspection(self, work: Work) -> None:
         noticed_s = self._clock.boottime_s()
--- a/marigoldhoist/components/quarantine/work.py
+++ b/marigoldhoist/components/quarantine/work.py
@@ -10,11 +10,16 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Work:
-    """One attempt at a replica; its call's shared parts in prompt order."""
+    """One attempt at a replica; its call's shared parts in prompt order.
+
+    `first_event_s` is the boot time of its first stream event. It counts as
+    answered once it is complete or has sent events for long enough.
+    """
 
     replica: Replica
     part_ids: tuple[str, ...]
     is_answered: bool = False
+    first_event_s: float | None = None
 
     @property
     def start(self) -> ReplicaStart:
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -6,6 +6,7 @@
 import json
 from collections.abc import AsyncIterator
 
+from marigoldhoist.components.quarantine.const import MIN_CRASHES
 from tests.platform.harness import (
     CallerResponse,
     GatewayHarness,
@@ -19,6 +20,8 @@
 CRASHING_PART = 'dead01'
 REPLICAS = 6
 RESTART_S = 0.4
+# Time for which a stream goes on before its replica ends.
+STREAM_S = 1.3
 CALL_PAUSE_S = 0.03
 # Crashes after which the daemons have `CONTACT_S` to hold the part back, and
 # the requests with it that may reach replicas after that.
@@ -268,3 +271,31 @@
                 return await call_once(fleet.harness, 'b1', 'b2')
 
         assert asyncio.run(scenario()).is_complete
+
+    def test_replicas_that_end_while_streams_go_on(self) -> None:
+        async def scenario() -> CallerResponse:
+            async with crashing_fleet() as fleet:
+                for _ in range(MIN_CRASHES):
+                    await call_until_crash(fleet, 'b1', 'b2')
+                for replica in fleet.replicas:
+                    replica.events = 4
+                return await call_once(fleet.harness, 'b1', 'b2')
+
+        assert asyncio.run(scenario()).is_complete
+
+
+async def call_until_crash(fleet: CrashingFleet, *part_ids: str) -> None:
+    """Crash the replica of a stream that has sent events for a while."""
+    for replica in fleet.replicas:
+        replica.events = 10_000
+    before = {replica.name: replica.arrivals for replica in fleet.replicas}
+    call = asyncio.create_task(call_once(fleet.harness, *part_ids))
+    await asyncio.sleep(STREAM_S)
+    serving = next(
+        replica
+        for replica in fleet.replicas
+        if replica.arrivals > before.get(replica.name, 0)
+    )
+    serving.crash()
+    await call
+    await asyncio.sleep(RESTART_S * 2)
