Log a suspected part as held, not as cleared, once a peer holds it

A daemon that suspects a part while another one holds it first logged both prompt_part_held and prompt_part_cleared.

--- a/marigoldhoist/components/quarantine/service.py
+++ b/marigoldhoist/components/quarantine/service.py
@@ -201,6 +201,9 @@
 
     def _clear(self, part_id: str, now_s: float) -> None:
         suspected_s = self._suspected_s_by_part.pop(part_id)
+        if part_id in self._evidence.held.active_ids(now_s):
+            # Another daemon held it first, which was logged.
+            return
         emit(
             PART_CLEARED,
             part=part_id,
