Crash replicas by prompt parts in the fault soak

Requests with a new part go to random daemons while other faults overlap; the replicas that they crash start again under their names. Once five have crashed and the daemons had 3 s, at most three more requests may reach replicas, except through daemons, a store or links that had a fault a short time before.

--- a/tools/platform_standins/replica.py
+++ b/tools/platform_standins/replica.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import enum
+from collections.abc import Callable, Set
 from typing import Final
 
 from tools.platform_standins.http import (
@@ -63,7 +64,8 @@
     of events in a stream, `limit_per_s` a limit that it names, `retry_after_s`
     what it adds when it sheds a request, `arrivals` the number of requests. A
     stream whose prompt has one of `crashing_parts` crashes the replica
-    `crash_delay_s` after the head of the response.
+    `crash_delay_s` after the head of the response and calls `on_crash`. `born`
+    distinguishes its starts under one name.
     `executed_requests` holds every request that was executed, `cancelled_ids`
     the ids of streams whose client disconnected, and `interrupted_ids` the ids
     of requests whose response a fault may have cut.
@@ -79,9 +81,11 @@
         self.limit_per_s: float | None = None
         self.is_leaving = False
         self.retry_after_s: float | None = None
-        self.crashing_parts: frozenset[str] = frozenset()
+        self.crashing_parts: Set[str] = frozenset()
         self.crash_delay_s = 0.02
         self.has_crashed = False
+        self.on_crash: Callable[[str], None] = _ignore_crash
+        self.born = 1
         self.part_ids: collections.Counter[str] = collections.Counter()
         self.arrivals = 0
         self.faults: collections.deque[ReplicaFault] = collections.deque()
@@ -100,15 +104,18 @@
             'slots': 8,
             'state': 'ready',
             'cold_ms': 0,
-            'born': 1,
+            'born': self.born,
             'sequence': 1,
             **changed,
         }
 
-    def crash(self) -> None:
+    def crash(self, part_id: str = '') -> None:
         """End the process: stop listening and reset every connection."""
+        if self.has_crashed:
+            return
         self.has_crashed = True
         self.stop()
+        self.on_crash(part_id)
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -199,9 +206,10 @@
             f'HTTP/1.1 200 OK\r\n{lines}Content-Type: text/event-stream\r\n'
             'Transfer-Encoding: chunked\r\n\r\n'.encode()
         )
-        if self.crashing_parts.intersection(_part_ids(request)):
+        crashing = self.crashing_parts & set(_part_ids(request))
+        if crashing:
             await asyncio.sleep(self.crash_delay_s)
-            self.crash()
+            self.crash(min(crashing))
             return False
         start = int(request.headers.get('last-event-id', '0'))
         for number in range(start + 1, self.events + 1):
@@ -236,6 +244,10 @@
         return headers
 
 
+def _ignore_crash(_part_id: str) -> None:
+    """Ignore a crash."""
+
+
 def _part_ids(request: ReceivedRequest) -> list[str]:
     """Return the ids of the parts of the request's prompt."""
     entries = request.headers.get('prefix-hash', '').split(',')
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -6,8 +6,11 @@
 from typing import Final
 
 from tools.soak.const import (
+    AGREEMENT_S,
+    CRASHES,
     EVENT_COUNT,
     KEY_WITHDRAWAL_S,
+    MAX_LATER_ARRIVALS,
     REPLICA_DRAIN_S,
     SCHEDULING_SLACK_S,
     STOP_GRACE_S,
@@ -50,6 +53,19 @@
     started_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashingArrival:
+    """A request with a crashing part at a replica.
+
+    `is_excused` is true if its daemon, the store or the links to replicas had a
+    fault shortly before.
+    """
+
+    part_id: str
+    arrived_s: float
+    is_excused: bool
+
+
 @dataclasses.dataclass(slots=True)
 class Observations:
     """Everything that was observed in one run of the soak.
@@ -68,6 +84,12 @@
         default_factory=dict
     )
     interrupted_ids: list[str] = dataclasses.field(default_factory=list)
+    crash_times_s_by_part: collections.defaultdict[str, list[float]] = (
+        dataclasses.field(default_factory=lambda: collections.defaultdict(list))
+    )
+    crashing_arrivals: list[CrashingArrival] = dataclasses.field(
+        default_factory=list
+    )
     replica_fault_spans_s: list[tuple[float, float]] = dataclasses.field(
         default_factory=list
     )
@@ -88,6 +110,7 @@
         yield from _check_planned_stop(call, runs, observations)
         yield from _check_key_withdrawal(call, runs, observations)
     yield from _check_drained_replicas(observations)
+    yield from _check_crashing_parts(observations)
 
 
 def _check_executions(
@@ -168,6 +191,25 @@
             )
 
 
+def _check_crashing_parts(observations: Observations) -> Iterator[str]:
+    for part_id, times_s in observations.crash_times_s_by_part.items():
+        if len(times_s) < CRASHES:
+            continue
+        agreed_s = sorted(times_s)[CRASHES - 1] + AGREEMENT_S
+        later = [
+            arrival
+            for arrival in observations.crashing_arrivals
+            if arrival.part_id == part_id
+            and arrival.arrived_s > agreed_s + SCHEDULING_SLACK_S
+            and not arrival.is_excused
+        ]
+        if len(later) > MAX_LATER_ARRIVALS:
+            yield (
+                f'part {part_id}: {len(later)} requests reached replicas too '
+                f'late, {len(times_s)} crashes'
+            )
+
+
 def _had_store_fault(observations: Observations, at_s: float) -> bool:
     """Return whether a store fault was injected around the given time."""
     return _overlaps_any(
--- a/tools/soak/const.py
+++ b/tools/soak/const.py
@@ -16,6 +16,14 @@
 # include.
 SCHEDULING_SLACK_S: Final = 1.0
 
+# Once so many replicas have crashed under one prompt part, daemons have a time
+# to agree on it, and then at most a few requests with it may reach replicas.
+CRASHES: Final = 5
+AGREEMENT_S: Final = 3.0
+MAX_LATER_ARRIVALS: Final = 3
+# Time for which a replica that crashed is away.
+RESTART_S: Final = 0.7
+
 MAX_CALL_PAUSE_S: Final = 0.05
 CALL_TIMEOUT_S: Final = 8.0
 MAX_FAULT_S: Final = 9.0
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -35,7 +35,7 @@
 Fault = Callable[['SoakWorld', random.Random], Awaitable[None]]
 
 FIRST_GENERATION = 1
-NEWEST_GENERATION = 2
+NEWEST_GENERATION = 3
 
 fault_by_name: dict[str, Fault] = {}
 _generation_by_name: dict[str, int] = {}
@@ -107,7 +107,7 @@
 @fault()
 async def replica_link(world: 'SoakWorld', rng: random.Random) -> None:
     """Delay, reset, stall or refuse connections to one replica."""
-    with world.record_replica_fault():
+    with world.record_replica_fault(), world.disturb():
         await _disturb_link(
             rng.choice(list(world.proxy_by_replica.values())), rng
         )
@@ -191,11 +191,9 @@
         world.observations.drain_start_s_by_replica
     )
     name = rng.choice(sorted(staying))
-    service = 'plain' if name.startswith('p') else 'model'
-    await world.add_replica(f'{name}x', service)
-    entry = world.entry(name, service)
-    await world.store.put(REPLICAS_TOPIC, name, {**entry, 'state': 'draining'})
+    await world.add_replica(f'{name}x')
     world.note_draining(name)
+    await world.register(name)
     await asyncio.sleep(5)
     await world.store.put_raw(REPLICAS_TOPIC, name, b'')
     world.remove_replica(name)
@@ -243,6 +241,13 @@
         await asyncio.sleep(8)
 
 
+@fault(generation=3)
+async def crashing_part(world: 'SoakWorld', rng: random.Random) -> None:
+    """Send requests with a part that crashes replicas, which start again."""
+    with world.record_replica_fault():
+        await world.crashing_parts.send(rng, rng.randint(20, 60))
+
+
 @contextlib.asynccontextmanager
 async def _temporary_key(world: 'SoakWorld') -> AsyncIterator[str]:
     """Add a key, yield it once callers use it, and stop using it at the end."""
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import pathlib
 import random
 import signal
 from collections.abc import Iterator
+from functools import partial
 
 from tools.platform_standins.http import ReceivedRequest
 from tools.platform_standins.replica import StandInReplica
@@ -18,6 +20,7 @@
 from tools.soak.callers import Caller
 from tools.soak.checks import Observations, ObservedRun, find_violations
 from tools.soak.const import (
+    AGREEMENT_S,
     CALLER_COUNT,
     DAEMON_COUNT,
     EVENT_COUNT,
@@ -29,6 +32,7 @@
     PLAIN_REPLICA_COUNT,
     STOP_GRACE_S,
 )
+from tools.soak.crashing_parts import CrashingParts
 from tools.soak.daemons import DaemonProcess
 from tools.soak.faults import (
     NEWEST_GENERATION,
@@ -43,15 +47,19 @@
 class ExecutionRecorder(list[ReceivedRequest]):
     """A list that records the start of each execution instead of keeping it."""
 
-    def __init__(self, replica: str, observations: Observations) -> None:
+    def __init__(
+        self, replica: str, observations: Observations, crashing: CrashingParts
+    ) -> None:
         super().__init__()
         self._replica = replica
         self._observations = observations
+        self._crashing = crashing
 
     def append(self, request: ReceivedRequest) -> None:
         """Record that the replica starts to execute a request."""
         now_s = asyncio.get_running_loop().time()
         request_id = request.headers['request-id']
+        self._crashing.note_arrival(request_id)
         self._observations.runs.append(
             ObservedRun(request_id, self._replica, now_s)
         )
@@ -83,9 +91,13 @@
         self._rng = random.Random(seed)
         self._folder = folder
         self._injected: list[str] = []
+        self._starts = itertools.count(1)
+        self._open_disturbances = 0
+        self._disturbed_until_s: float = 0
         self.observations = Observations()
         self.violations: list[str] = []
         self.config_version = 1
+        self.crashing_parts = CrashingParts(self)
         self.store = StandInStore()
         self.store_proxy: Proxy
         self.replica_by_name: dict[str, StandInReplica] = {}
@@ -117,10 +129,15 @@
             tuple(self.violations),
         )
 
-    async def add_replica(self, name: str, service: str) -> None:
+    async def add_replica(self, name: str) -> None:
         """Start a replica behind a proxy and register it in the store."""
         replica = StandInReplica(name, EVENT_COUNT)
-        replica.executed_requests = ExecutionRecorder(name, self.observations)
+        replica.crashing_parts = self.crashing_parts.part_ids
+        replica.on_crash = partial(self.crashing_parts.note_crash, name)
+        replica.born = next(self._starts)
+        replica.executed_requests = ExecutionRecorder(
+            name, self.observations, self.crashing_parts
+        )
         replica.event_pause_s = EVENT_INTERVAL_S
         replica.confidence = self._rng.choice((5, 95))
         await replica.start(HOST)
@@ -129,7 +146,7 @@
         replica.interrupted_ids = self.observations.interrupted_ids
         self.replica_by_name[name] = replica
         self.proxy_by_replica[name] = proxy
-        await self.store.put(REPLICAS_TOPIC, name, self.entry(name, service))
+        await self.register(name)
 
     def entry(self, name: str, service: str) -> dict[str, object]:
         """Return a replica's entry with the address of its proxy."""
@@ -161,23 +178,45 @@
         known = self.store.topic_by_name[REPLICAS_TOPIC].latest_by_key
         for gone in known.keys() - self.replica_by_name.keys():
             await self.store.put_raw(REPLICAS_TOPIC, gone, b'')
-        for name in self.replica_by_name:
-            service = 'plain' if name.startswith('p') else 'model'
-            entry = self.entry(name, service)
-            if name in self.observations.drain_start_s_by_replica:
-                entry['state'] = 'draining'
-            await self.store.put(REPLICAS_TOPIC, name, entry)
+        for name in tuple(self.replica_by_name):
+            await self.register(name)
+
+    async def register(self, name: str) -> None:
+        """Write the entry of a replica as it is now."""
+        service = 'plain' if name.startswith('p') else 'model'
+        entry = self.entry(name, service)
+        if name in self.observations.drain_start_s_by_replica:
+            entry['state'] = 'draining'
+        await self.store.put(REPLICAS_TOPIC, name, entry)
 
     async def _write_configuration(self) -> None:
         content = _configuration(self.config_version, self._extra_keys)
         await self.store.put(OPERATOR_TOPIC, 'config', content)
 
+    @property
+    def is_disturbed(self) -> bool:
+        """Return whether the store or a link had a fault a short time ago."""
+        now_s = asyncio.get_running_loop().time()
+        return self._open_disturbances > 0 or now_s < self._disturbed_until_s
+
+    @contextlib.contextmanager
+    def disturb(self) -> Iterator[None]:
+        """Mark a fault that may keep news or requests back for a while."""
+        self._open_disturbances += 1
+        try:
+            yield
+        finally:
+            self._open_disturbances -= 1
+            now_s = asyncio.get_running_loop().time()
+            self._disturbed_until_s = now_s + AGREEMENT_S
+
     @contextlib.contextmanager
     def record_store_fault(self) -> Iterator[None]:
         """Record the time span of a store fault."""
         started_s = asyncio.get_running_loop().time()
         try:
-            yield
+            with self.disturb():
+                yield
         finally:
             ended_s = asyncio.get_running_loop().time()
             self.observations.store_fault_spans_s.append((started_s, ended_s))
@@ -198,9 +237,9 @@
         await self.store_proxy.start(HOST)
         await self.put_configuration([])
         for plain in range(PLAIN_REPLICA_COUNT):
-            await self.add_replica(f'p{plain}', 'plain')
+            await self.add_replica(f'p{plain}')
         for model in range(MODEL_REPLICA_COUNT):
-            await self.add_replica(f'e{model}', 'model')
+            await self.add_replica(f'e{model}')
         settings = {
             'gateway': {'stop_grace_ms': STOP_GRACE_S * MS_PER_S},
             'store': {'address': self.store_proxy.address},
