--- /dev/null
+++ b/tools/roll_outs/__init__.py
@@ -0,0 +1,1 @@
+"""Show from logs where the time of roll-outs went."""
