Wait for a fifth crash before the place in a prompt decides

Cause: one request that is tried at three replicas ends all three, and the part that it crashes on and the sound one that follows it are at the same crashes. The one further back was held, so the first request held back a sound subject, and the part was found only at the next one. Found by reading the change again.

Change: parts that are equal in answers and crashes leave each other alone until five crashes. A daemon that has seen no answers at all now finds the part at five crashes instead of three; the tests of several daemons let the shared part be answered once, as it is for callers whose sound requests go on.

--- a/marigoldhoist/components/quarantine/const.py
+++ b/marigoldhoist/components/quarantine/const.py
@@ -12,6 +12,9 @@
 # common, so its crashes must also span `MIN_ANSWERED_SPAN_S`.
 MIN_CRASHES_ANSWERED: Final = 8
 MIN_ANSWERED_SPAN_S: Final = 3.0
+# Crashes after which the place in the prompt decides between parts that were
+# at the same ones. Until then, one may be a sound part of the same request.
+MIN_CRASHES_BY_DEPTH: Final = 5
 # Replicas that end within this time of each other count as one crash, as by a
 # loss of power or of a link.
 SAME_MOMENT_S: Final = 0.02
--- a/marigoldhoist/components/quarantine/culprits.py
+++ b/marigoldhoist/components/quarantine/culprits.py
@@ -16,6 +16,7 @@
     MIN_ANSWERED_SPAN_S,
     MIN_CRASHES,
     MIN_CRASHES_ANSWERED,
+    MIN_CRASHES_BY_DEPTH,
     SAME_MOMENT_S,
 )
 from marigoldhoist.components.quarantine.models import Crash, ReplicaStart
@@ -65,13 +66,14 @@
         """Return the key by which suspicions are compared, weakest first.
 
         Among parts that are equal otherwise, the one further back in the
-        prompt is shared by fewer requests.
+        prompt is shared by fewer requests, once there are enough crashes.
         """
+        is_depth_decisive = self.crashes >= MIN_CRASHES_BY_DEPTH
         return (
             self.is_on_probation,
             not self.was_answered,
             self.crashes,
-            self.depth,
+            self.depth if is_depth_decisive else 0,
         )
 
 
