Read logs in one place, and look up held parts by the call's parts

- roll_outs and explain each opened and parsed log files, and only one of them tolerated bytes that are no text.
Both call read_logs of tools/explain now.
- find_hold built the set of all held parts for each call, twice, to look up the few parts of the call; it looks those up directly.
- A local name hid the decorator describe in the timelines of roll-outs.

--- a/marigoldhoist/components/quarantine/service.py
+++ b/marigoldhoist/components/quarantine/service.py
@@ -130,12 +130,11 @@
     def find_hold(self, part_ids: Iterable[str]) -> Hold | None:
         """Return why a call with the parts is refused, None if it is not."""
         now_s = self._clock.boottime_s()
-        held = self._evidence.held
-        active_ids = held.active_ids(now_s)
+        held_by_part = self._evidence.held.held_by_part
         for part_id in part_ids:
-            if part_id in active_ids:
-                left_s = held.held_by_part[part_id].left_s(now_s)
-                return Hold(part_id, left_s)
+            held = held_by_part.get(part_id)
+            if held is not None and held.left_s(now_s) > 0:
+                return Hold(part_id, held.left_s(now_s))
             if part_id in self._suspected_s_by_part:
                 return Hold(part_id, SETTLE_S)
         return None
--- a/tools/explain/__main__.py
+++ b/tools/explain/__main__.py
@@ -1,11 +1,9 @@
 """Print the timeline of one request from log files."""
 
-import pathlib
 import sys
-from collections.abc import Iterator
 from typing import Final
 
-from tools.explain.lines import format_line, read_lines, request_timeline
+from tools.explain.lines import format_line, read_logs, request_timeline
 
 USAGE: Final = 'usage: script/explain ID LOGS...'
 EXIT_USAGE: Final = 2
@@ -18,7 +16,7 @@
         sys.stderr.write(f'{USAGE}\n')
         return EXIT_USAGE
     request_id, *paths = arguments
-    timeline = request_timeline(request_id, read_lines(_read_texts(paths)))
+    timeline = request_timeline(request_id, read_logs(paths))
     if not timeline:
         sys.stderr.write(f'no log line of request {request_id!r}\n')
         return EXIT_UNKNOWN
@@ -28,10 +26,4 @@
     return 0
 
 
-def _read_texts(paths: list[str]) -> Iterator[str]:
-    for path in paths:
-        with pathlib.Path(path).open(encoding='utf-8', errors='replace') as log:
-            yield from log
-
-
 sys.exit(main(sys.argv[1:]))
--- a/tools/explain/lines.py
+++ b/tools/explain/lines.py
@@ -6,6 +6,7 @@
 import dataclasses
 import datetime
 import json
+import pathlib
 from collections.abc import Iterable, Iterator
 from typing import Any, Final
 
@@ -56,6 +57,13 @@
             yield _parse_line(raw)
 
 
+def read_logs(paths: Iterable[str]) -> Iterator[LogLine]:
+    """Yield the log events of files; bytes that are no text are replaced."""
+    for path in paths:
+        with pathlib.Path(path).open(encoding='utf-8', errors='replace') as log:
+            yield from read_lines(log)
+
+
 def request_timeline(
     request_id: str, lines: Iterable[LogLine]
 ) -> list[LogLine]:
--- a/tools/roll_outs/__main__.py
+++ b/tools/roll_outs/__main__.py
@@ -1,11 +1,10 @@
 """Print the milestones of the roll-outs in log files."""
 
-import pathlib
 import sys
 from collections.abc import Iterator
 from typing import Final
 
-from tools.explain.lines import LogLine, read_lines
+from tools.explain.lines import read_logs
 from tools.roll_outs.timeline import (
     Milestone,
     RollOutTimeline,
@@ -22,7 +21,7 @@
     if not paths:
         sys.stderr.write(f'{USAGE}\n')
         return EXIT_USAGE
-    timelines = roll_out_timelines(_read(paths))
+    timelines = roll_out_timelines(read_logs(paths))
     if not timelines:
         sys.stderr.write('no roll-out was ordered in these logs\n')
         return EXIT_NONE
@@ -32,12 +31,6 @@
     return 0
 
 
-def _read(paths: list[str]) -> Iterator[LogLine]:
-    for path in paths:
-        with pathlib.Path(path).open(encoding='utf-8') as log:
-            yield from read_lines(log)
-
-
 def _format(timeline: RollOutTimeline) -> Iterator[str]:
     """Yield the lines of text for a roll-out."""
     yield (
--- a/tools/roll_outs/timeline.py
+++ b/tools/roll_outs/timeline.py
@@ -56,9 +56,10 @@
         if known is not None:
             known.add(line)
             return
-        describe = describe_by_event.get(line.event, _describe_nothing)
+        describe_fields = describe_by_event.get(line.event, _describe_nothing)
+        detail = describe_fields(line.fields)
         self.milestone_by_name[name] = Milestone(
-            name, line.time_s, line.time_s, {line.host}, describe(line.fields)
+            name, line.time_s, line.time_s, {line.host}, detail
         )
 
 
