List a rejected version that gets calls of a later daemon as known red

On: v2 of a service is rolled back, v3 is ordered, a daemon starts, the old replicas go away: 94 of 100 calls at that daemon reach v2, also when the daemon that rejected v2 has ended.

--- /dev/null
+++ b/tests/platform/test_rejected_versions.py
@@ -0,0 +1,90 @@
+"""The whole gateway after a version was rejected and another one ordered."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import pytest
+
+from marigoldhoist.components.directory.service import DirectoryService
+from tests.platform.harness import GatewayHarness
+from tests.platform.test_restored_store import stored_states, wait_until
+from tests.platform.test_roll_outs import (
+    FAILS,
+    HEALTHY,
+    ORDER,
+    ORDER_KEY,
+    roll_out_under_traffic,
+)
+from tools.platform_standins.store import OPERATOR_TOPIC, REPLICAS_TOPIC
+
+CALLS = 100
+REJECTED = 'p3'
+# The other daemons store what they know within this time.
+SETTLE_S = 2.0
+
+
+@contextlib.asynccontextmanager
+async def rejected_then_ordered() -> AsyncIterator[GatewayHarness]:
+    """Provide a gateway that rejected v2 before v3 was ordered."""
+    async with roll_out_under_traffic(HEALTHY, FAILS) as harness:
+        await wait_until(
+            lambda: 'rolled_back' in stored_states(harness, ORDER_KEY)
+        )
+        await harness.add_replica('p4', 'plain', version='v3')
+        await harness.store.put(
+            OPERATOR_TOPIC, ORDER_KEY, {**ORDER, 'target': 'v3', 'over_s': 60}
+        )
+        await asyncio.sleep(SETTLE_S)
+        yield harness
+
+
+async def calls_to_rejected(
+    harness: GatewayHarness, later: GatewayHarness
+) -> int:
+    """Call a daemon without old replicas; count what the rejected one gets."""
+    for name in ('p1', 'p2'):
+        await harness.store.put_raw(REPLICAS_TOPIC, name, b'')
+    directory = later.gateway.context.directory
+    await wait_until(lambda: not _has_old(directory))
+    before = harness.run_count(REJECTED)
+    for _ in range(CALLS):
+        await later.call('/unsafe/x')
+    return harness.run_count(REJECTED) - before
+
+
+def _has_old(directory: DirectoryService) -> bool:
+    return 'v1' in directory.versions('plain')
+
+
+class TestDaemonThatStartsLater:
+    """It has not seen the order under which a version was rejected."""
+
+    @pytest.mark.xfail(strict=False, reason='KNOWN-RED 8')
+    def test_rejected_version_gets_no_calls(self) -> None:
+        async def scenario() -> int:
+            async with rejected_then_ordered() as harness:
+                later = GatewayHarness('d2')
+                await later.join(harness)
+                try:
+                    return await calls_to_rejected(harness, later)
+                finally:
+                    later.kernel.stop()
+
+        assert asyncio.run(scenario()) == 0
+
+    @pytest.mark.xfail(strict=False, reason='KNOWN-RED 8')
+    def test_rejected_version_gets_no_calls_after_all_daemons_ended(
+        self,
+    ) -> None:
+        async def scenario() -> int:
+            async with rejected_then_ordered() as harness:
+                harness.kernel.stop()
+                later = GatewayHarness('d2')
+                await later.join(harness)
+                try:
+                    return await calls_to_rejected(harness, later)
+                finally:
+                    later.kernel.stop()
+
+        assert asyncio.run(scenario()) == 0
