Reject a version that another daemon has found bad

Each daemon judged a version by counts that it pooled itself; one with other counts, or just started, kept sending until the stored state reached it. A release that does not know the field ignores it.

TestVerdict.test_rejection_is_adopted failed before.

--- a/marigoldhoist/components/canary/analysis.py
+++ b/marigoldhoist/components/canary/analysis.py
@@ -74,6 +74,7 @@
                 self._comparison.evidence(),
                 list(positions),
                 now_s - self.roll_out.cleared_s,
+                self.roll_out.is_rejected,
             )
         )
 
@@ -82,9 +83,11 @@
         if self.roll_out.state.is_final or self.roll_out.is_rejected:
             return
         reason = regression_reason(self.pooled_evidence())
-        if not reason:
-            return
-        self.roll_out.is_rejected = True
+        if reason and not self.roll_out.is_rejected:
+            self.roll_out.is_rejected = True
+            self._log_found_bad(reason)
+
+    def _log_found_bad(self, reason: str) -> None:
         emit(
             VERSION_FOUND_BAD,
             service=self.roll_out.order.service,
@@ -126,6 +129,8 @@
             cleared_s = finding.created_s - peer.cleared_for_s
             self.roll_out.cleared_s = min(self.roll_out.cleared_s, cleared_s)
             self.active_positions.update(peer.active_positions)
+            if peer.is_rejected and self.roll_out.adopt_rejection():
+                self._log_found_bad('another daemon found it bad')
             is_recent = finding.created_s >= recent_since_s
             yield peer if is_recent else peer.without_recent()
 
--- a/marigoldhoist/components/canary/evidence.py
+++ b/marigoldhoist/components/canary/evidence.py
@@ -149,13 +149,14 @@
     daemon. `active_positions` are the hash positions of sessions that would be
     canary sessions but are active on another version. `cleared_for_s` is the
     time since the daemon cleared the version for the ramp, negative infinity if
-    it did not.
+    it did not. `is_rejected` is whether the daemon knows the version as bad.
     """
 
     known_for_s: float
     evidence: Evidence
     active_positions: list[float] = []
     cleared_for_s: float = -math.inf
+    is_rejected: bool = False
 
     def without_recent(self) -> 'DaemonEvidence':
         """Return the evidence with no answers that count as recent."""
--- a/tests/components/canary/test_analysis.py
+++ b/tests/components/canary/test_analysis.py
@@ -1,7 +1,9 @@
 """Tests of the analysis of a new version by several daemons."""
 
 import itertools
+import math
 
+import msgspec
 import pytest
 
 from marigoldhoist.components.canary.analysis import (
@@ -9,7 +11,7 @@
     CanaryAnalysis,
 )
 from marigoldhoist.components.canary.comparison import AnswerSample
-from marigoldhoist.components.canary.evidence import Measure
+from marigoldhoist.components.canary.evidence import Evidence, Measure
 from marigoldhoist.components.canary.models import (
     RollOut,
     RollOutOrder,
@@ -23,6 +25,15 @@
 SLOW_PACE_S = 0.12
 
 
+class OlderEvidence(msgspec.Struct, array_like=True):
+    """The evidence as the release before the shared verdict decodes it."""
+
+    known_for_s: float
+    evidence: Evidence
+    active_positions: list[float] = []
+    cleared_for_s: float = -math.inf
+
+
 class Clock(SystemClock):
     """A clock that the test sets."""
 
@@ -74,6 +85,41 @@
         receiver.findings.merge(sender.findings.known_findings())
 
 
+class TestVerdict:
+    """What one daemon has found holds for those that hear of it."""
+
+    def test_rejection_is_adopted(
+        self, daemons: list[Daemon], clock: Clock
+    ) -> None:
+        daemons[0].roll_out.is_rejected = True
+        gossip(daemons, clock)
+        assert all(daemon.roll_out.is_rejected for daemon in daemons)
+        assert daemons[-1].roll_out.is_found_elsewhere
+
+    def test_completed_version_stays(
+        self, daemons: list[Daemon], clock: Clock
+    ) -> None:
+        daemons[0].roll_out.is_rejected = True
+        daemons[1].roll_out.state = RollOutState.COMPLETED
+        gossip(daemons, clock)
+        assert daemons[1].roll_out.is_target_allowed
+
+    def test_older_release_tells_no_verdict(
+        self, daemons: list[Daemon]
+    ) -> None:
+        older = msgspec.msgpack.encode([0, [], [], -math.inf])
+        daemons[0].findings.merge([Finding('old', 1, ORDER.subject, older, 0)])
+        assert not daemons[0].roll_out.is_rejected
+
+    def test_older_release_reads_the_evidence(
+        self, daemons: list[Daemon]
+    ) -> None:
+        daemons[0].roll_out.is_rejected = True
+        [finding] = daemons[0].findings.local_findings()
+        decoded = msgspec.msgpack.decode(finding.payload, type=OlderEvidence)
+        assert decoded.evidence
+
+
 class TestPooledEvidence:
     """A single daemon has too little evidence to decide alone."""
 
