Log which replicas want no requests when another one is chosen

Event 3800 request_sent names the replicas of the service that are closed and for how long yet, 3510 replica_closed the request whose answer said so. No change of behaviour.

--- a/marigoldhoist/components/directory/announcements.py
+++ b/marigoldhoist/components/directory/announcements.py
@@ -61,12 +61,14 @@
         self._clock = clock
         self._siblings = siblings
 
-    def record(self, replica: Replica, announcement: Announcement) -> None:
-        """Apply what a replica announced in an answer of its own."""
+    def record(
+        self, replica: Replica, announcement: Announcement, request_id: str
+    ) -> None:
+        """Apply what a replica announced in its answer to a request."""
         if announcement.is_leaving and not replica.is_leaving:
             self._leave(replica)
         if announcement.closed_for_s:
-            self._close(replica, announcement.closed_for_s)
+            self._close(replica, announcement.closed_for_s, request_id)
         self._limit(replica, announcement.limit_per_s)
         self._share_room(replica, announcement.rejections_per_s)
 
@@ -94,12 +96,15 @@
             known_for_s=replica.known_for_s(self._clock.boottime_s()),
         )
 
-    def _close(self, replica: Replica, closed_for_s: float) -> None:
+    def _close(
+        self, replica: Replica, closed_for_s: float, request_id: str
+    ) -> None:
         """Give a replica no requests for a time."""
         until_s = self._clock.boottime_s() + closed_for_s
         replica.closed_until_s = max(replica.closed_until_s, until_s)
         emit(
             REPLICA_CLOSED,
+            request_id=request_id,
             replica=replica.host,
             service=replica.entry.service,
             for_s=closed_for_s,
--- a/marigoldhoist/components/directory/service.py
+++ b/marigoldhoist/components/directory/service.py
@@ -57,6 +57,16 @@
             and known is not replica
         ]
 
+    def closed_for_s(self, service: str) -> dict[str, float]:
+        """Return how long replicas still want no requests, for log lines."""
+        now_s = self._clock.boottime_s()
+        return {
+            replica.host: round(replica.closed_until_s - now_s, 3)
+            for replica in self.replica_by_host.values()
+            if replica.entry.service == service
+            and replica.closed_until_s > now_s
+        }
+
     def versions(self, service: str) -> set[str]:
         """Return the versions with replicas that may get new requests."""
         return {replica.entry.version for replica in self.usable(service)}
--- a/marigoldhoist/components/gateway/attempts.py
+++ b/marigoldhoist/components/gateway/attempts.py
@@ -279,7 +279,11 @@
         self._context.canary.record_session(
             progress.call.session, replica.entry.version
         )
-        progress.note(REQUEST_SENT, **_send_log_fields(progress, replica))
+        progress.note(
+            REQUEST_SENT,
+            **_send_log_fields(progress, replica),
+            closed_for_s=self._context.directory.closed_for_s(progress.service),
+        )
         if progress.has_stream_started:
             progress.note(
                 STREAM_RESUMED,
--- a/marigoldhoist/components/gateway/peer_attempts.py
+++ b/marigoldhoist/components/gateway/peer_attempts.py
@@ -72,7 +72,9 @@
             )
             if replica is not None:
                 self._context.sender.announcements.record(
-                    replica, response.metadata.announcement
+                    replica,
+                    response.metadata.announcement,
+                    progress.call.request_id,
                 )
             head.headers = handover_headers.without_handover(head.headers)
             yield response
--- a/marigoldhoist/components/gateway/sender.py
+++ b/marigoldhoist/components/gateway/sender.py
@@ -232,7 +232,7 @@
                 Verdict.MAY_HAVE_RUN,
                 is_connection_lost=isinstance(error, ConnectionClosedError),
             ) from error
-        self._record_metadata(replica, metadata, connection)
+        self._record_metadata(replica, metadata, connection, call.request_id)
         response = ReplicaResponse(
             replica, connection, head, metadata, has_body=call.method != HEAD
         )
@@ -264,11 +264,14 @@
         replica: Replica,
         metadata: ResponseMetadata,
         connection: ReplicaConnection,
+        request_id: str,
     ) -> None:
         if metadata.idle_timeout_s is not None:
             connection.idle_timeout_s = metadata.idle_timeout_s
         if not metadata.is_misdirected:
-            self.announcements.record(replica, metadata.announcement)
+            self.announcements.record(
+                replica, metadata.announcement, request_id
+            )
         if metadata.load is not None:
             running, waiting, slots = metadata.load
             replica.report = LoadReport(
--- a/tests/test_log_lines.py
+++ b/tests/test_log_lines.py
@@ -16,7 +16,7 @@
     'REQUEST_SENT': REQUEST
     | {'replica', 'version', 'session', 'model', 'tokens_in', 'sends'}
     | {'own_in_flight', 'counted_in_flight', 'count_age_s', 'left_s'}
-    | {'limit_per_s'},
+    | {'limit_per_s', 'closed_for_s'},
     'REQUEST_ENDED': REQUEST
     | {'replica', 'model', 'sends', 'events', 'first_s'},
     'REQUEST_FAILED': REQUEST
@@ -78,7 +78,7 @@
     'REPLICA_ANNOUNCED_LEAVING': {'replica', 'service', 'in_flight'}
     | {'known_for_s'},
     'REPLICA_CLOSED': {'replica', 'service', 'for_s', 'in_flight'}
-    | {'known_for_s'},
+    | {'known_for_s', 'request_id'},
     'REPLICA_BRITTLE': {'replica', 'service', 'rejections_per_s', 'daemons'}
     | {'known_for_s'},
     'BRITTLE_REPLICA_REJECTED': {'replica', 'service', 'for_s', 'in_flight'},
