List announcements that are forgotten with an entry as known red

A replica wants no requests for 4 s; its entry is removed and written again: 192 calls reach it in the next second. One that leaves gets 105 in half a second. A control, a new start of the replica, is tested as well and passes.

--- a/tests/components/directory/test_service.py
+++ b/tests/components/directory/test_service.py
@@ -118,6 +118,50 @@
         assert fixture.directory.usable('s')[0].in_flight == 5
 
 
+class TestEntryWrittenAnew:
+    """A replica whose entry comes back with the same start is the same."""
+
+    @pytest.mark.xfail(strict=False, reason='KNOWN-RED 8')
+    def test_keeps_what_it_announced(self) -> None:
+        fixture = Fixture()
+        known = fixture.directory.usable('s')[0]
+        known.closed_until_s = fixture.clock.now_s + 3
+        known.in_flight = 1
+        fixture.directory.remove('r1', ALWAYS_HEALTHY_S)
+        fixture.directory.put(dataclasses.replace(ENTRY, slots=4))
+        again = fixture.directory.usable('s')[0]
+        assert not again.has_turn(fixture.clock.now_s)
+        assert again.has_turn(fixture.clock.now_s + 3)
+        assert again.in_flight == 1
+        assert again.slots == 4
+
+    @pytest.mark.xfail(strict=False, reason='KNOWN-RED 8')
+    def test_replica_that_leaves_keeps_leaving(self) -> None:
+        fixture = Fixture()
+        fixture.directory.usable('s')[0].is_leaving = True
+        fixture.directory.remove('r1', ALWAYS_HEALTHY_S)
+        fixture.directory.put(ENTRY)
+        assert not fixture.usable
+
+    def test_new_start_ends_what_it_announced(self) -> None:
+        fixture = Fixture()
+        known = fixture.directory.usable('s')[0]
+        known.closed_until_s = fixture.clock.now_s + 3
+        fixture.directory.remove('r1', ALWAYS_HEALTHY_S)
+        fixture.directory.put(dataclasses.replace(ENTRY, started_ms=2))
+        assert fixture.directory.usable('s')[0].has_turn(fixture.clock.now_s)
+
+    @pytest.mark.xfail(strict=False, reason='KNOWN-RED 8')
+    def test_replica_behind_a_foreign_answer_keeps_its_pause(self) -> None:
+        fixture = Fixture()
+        known = fixture.directory.usable('s')[0]
+        known.closed_until_s = fixture.clock.now_s + 3
+        fixture.directory.note_replaced(known)
+        fixture.directory.put(ENTRY)
+        again = fixture.directory.usable('s')[0]
+        assert not again.has_turn(fixture.clock.now_s)
+
+
 class TestSuspicion:
     """Replicas that refuse or drop connections are avoided."""
 
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -2,14 +2,19 @@
 
 import asyncio
 
+import pytest
+
 from tests.platform.harness import GatewayHarness, running_gateway
+from tests.platform.test_restored_store import wait_until
 from tools.platform_standins.replica import ReplicaFault
+from tools.platform_standins.store import REPLICAS_TOPIC
 
 LIMIT_PER_S = 2.0
 WINDOW_S = 4.0
 # What a replica may get in a window: one and a half times its limit, and this.
 BURST = 5
 CALL_PAUSE_S = 0.01
+CALLERS = 8
 
 
 async def call_for(harness: GatewayHarness, duration_s: float) -> list[int]:
@@ -68,6 +73,58 @@
         assert set(statuses[2:]) == {503}
 
 
+async def call_from_many(harness: GatewayHarness, duration_s: float) -> None:
+    """Call the plain service from several callers for a time."""
+    await asyncio.gather(
+        *(call_for(harness, duration_s) for _ in range(CALLERS))
+    )
+
+
+async def write_entry_anew(harness: GatewayHarness, name: str) -> None:
+    """Remove the entry of a replica and write it again, as after a lapse."""
+    entry = harness.replica_by_name[name].entry('plain')
+    replica_by_host = harness.gateway.context.directory.replica_by_host
+    await harness.store.put_raw(REPLICAS_TOPIC, name, b'')
+    await wait_until(lambda: name not in replica_by_host)
+    await harness.store.put(REPLICAS_TOPIC, name, entry)
+    await wait_until(lambda: name in replica_by_host)
+
+
+class TestEntryWrittenAnew:
+    """What a replica announced holds until it is started anew."""
+
+    @pytest.mark.xfail(strict=False, reason='KNOWN-RED 8')
+    def test_replica_that_wants_a_pause_gets_none_of_the_calls(self) -> None:
+        async def scenario() -> int:
+            async with running_gateway() as harness:
+                closed = harness.replica_by_name['p1']
+                closed.retry_after_s = 4.0
+                closed.faults.append(ReplicaFault.SHED)
+                while closed.faults:
+                    await harness.call('/unsafe2/x')
+                await write_entry_anew(harness, 'p1')
+                before = closed.arrivals
+                await call_from_many(harness, 1)
+                return closed.arrivals - before
+
+        assert asyncio.run(scenario()) == 0
+
+    @pytest.mark.xfail(strict=False, reason='KNOWN-RED 8')
+    def test_replica_that_leaves_gets_none_of_the_calls(self) -> None:
+        async def scenario() -> int:
+            async with running_gateway() as harness:
+                leaving = harness.replica_by_name['p1']
+                leaving.is_leaving = True
+                await call_for(harness, 0.5)
+                await write_entry_anew(harness, 'p1')
+                leaving.is_leaving = False
+                before = leaving.arrivals
+                await call_from_many(harness, 0.5)
+                return leaving.arrivals - before
+
+        assert asyncio.run(scenario()) == 0
+
+
 class TestTurnedAway:
     """A replica turns a request away and names a time."""
 
