Keep what a replica announced when its entry is written anew

What replicas saw: calls within the time for which they had turned a daemon away, or after they had said that they leave. Cause: closed_until_s, is_leaving, the limit, the room and the failures are kept with the replica, and an entry that is removed and written again made a new one that knows nothing; so did a 421 and a lapse around an outage of the store. Class: what is known goes with the object that held it.

The directory keeps removed replicas, and an entry that comes back with the same start and address gets the one that had it, requests in flight included. A new start begins anew, as its replica holds nothing of before: leaving, brittleness and a limit hold for a start, a pause for its time.

A replica that starts anew gets calls, before and after. Entry 8 leaves the list of known reds.

--- a/marigoldhoist/components/directory/const.py
+++ b/marigoldhoist/components/directory/const.py
@@ -8,10 +8,6 @@
 # Until then, entries that expired because of the outage stay in use.
 LAPSE_GRACE_S: Final = 2.0
 
-# Starts of removed replicas that are remembered, so that a store restored from
-# an older copy does not list them again.
-MAX_REMEMBERED_STARTS: Final = 1024
-
 # Time over which the failure score of a replica halves.
 FAILURE_HALF_LIFE_S: Final = 3.0
 # A replica that cannot be connected to is avoided for this time while other
--- a/marigoldhoist/components/directory/models.py
+++ b/marigoldhoist/components/directory/models.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+from typing import TypeAlias
 
 from marigoldhoist.components.directory.const import (
     FAILURE_HALF_LIFE_S,
@@ -13,6 +14,9 @@
     SharedRoom,
 )
 
+# Name and start time, in milliseconds since 1970.
+ReplicaStart: TypeAlias = tuple[str, int]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReplicaEntry:
@@ -33,6 +37,19 @@
     started_ms: int
     warm_up_s: float = 0
 
+    @property
+    def start(self) -> ReplicaStart:
+        """Return what tells this start of the replica from others."""
+        return self.host, self.started_ms
+
+    def is_same_start(self, other: 'ReplicaEntry') -> bool:
+        """Return whether two entries are of one start at one address."""
+        return (self.start, self.address, self.port) == (
+            other.start,
+            other.address,
+            other.port,
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class LoadReport:
@@ -101,6 +118,11 @@
         """Return how many requests the replica runs at once."""
         return max(1, self.entry.slots)
 
+    def renew(self, entry: ReplicaEntry) -> None:
+        """Take over an entry that the same start has written."""
+        self.entry = entry
+        self.usable_until_s = math.inf
+
     def known_for_s(self, now_s: float) -> float:
         """Return the seconds since it was first seen, for log lines."""
         return round(now_s - self.first_seen_s, 3)
--- a/marigoldhoist/components/directory/service.py
+++ b/marigoldhoist/components/directory/service.py
@@ -5,7 +5,6 @@
 from marigoldhoist.components.directory.const import (
     COMPONENT,
     LAPSE_GRACE_S,
-    MAX_REMEMBERED_STARTS,
     MAX_SUSPICION_S,
     SUSPICION_GROWTH,
 )
@@ -19,6 +18,7 @@
     RESTORED_ENTRY_PASSED_OVER,
 )
 from marigoldhoist.components.directory.models import Replica, ReplicaEntry
+from marigoldhoist.components.directory.removed import RemovedReplicas
 from marigoldhoist.core.clock import SYSTEM_CLOCK, SystemClock
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.kernel import BaseService, Kernel
@@ -30,8 +30,7 @@
     def __init__(self, clock: SystemClock = SYSTEM_CLOCK) -> None:
         self._clock = clock
         self._gone_callbacks: list[Callable[[Replica], None]] = []
-        # Host and start time of removed replicas; the oldest is dropped first.
-        self._removed_starts: dict[tuple[str, int], None] = {}
+        self._removed = RemovedReplicas()
         self.replica_by_host: dict[str, Replica] = {}
 
     def on_gone(self, callback: Callable[[Replica], None]) -> None:
@@ -57,16 +56,6 @@
             and known is not replica
         ]
 
-    def closed_for_s(self, service: str) -> dict[str, float]:
-        """Return how long replicas still want no requests, for log lines."""
-        now_s = self._clock.boottime_s()
-        return {
-            replica.host: round(replica.closed_until_s - now_s, 3)
-            for replica in self.replica_by_host.values()
-            if replica.entry.service == service
-            and replica.closed_until_s > now_s
-        }
-
     def versions(self, service: str) -> set[str]:
         """Return the versions with replicas that may get new requests."""
         return {replica.entry.version for replica in self.usable(service)}
@@ -74,16 +63,15 @@
     def put(self, entry: ReplicaEntry) -> None:
         """Add or update a replica from its newest entry."""
         known = self.replica_by_host.get(entry.host)
-        if known is not None and _is_same_start(known.entry, entry):
+        if known is not None and known.entry.is_same_start(entry):
             self._renew(known, entry)
             return
         if known is not None:
             self._drop(known)
-        replica = Replica(entry, self._clock.boottime_s(), entry.warm_up_s)
-        for sibling in self.siblings(replica):
-            if sibling.room is not None:
-                # Those that replace a brittle replica are brittle too.
-                replica.room = sibling.room.copy()
+        replica = self._removed.revive(entry)
+        if replica is None:
+            replica = Replica(entry, self._clock.boottime_s(), entry.warm_up_s)
+            _copy_room(self.siblings(replica), replica)
         self.replica_by_host[entry.host] = replica
         emit(
             REPLICA_LEAVING if entry.is_draining else REPLICA_FOUND,
@@ -91,8 +79,8 @@
             service=entry.service,
             version=entry.version,
             failure_domain=entry.failure_domain,
-            in_flight=0,
-            known_for_s=0,
+            in_flight=replica.in_flight,
+            known_for_s=replica.known_for_s(self._clock.boottime_s()),
         )
 
     def put_restored(self, entry: ReplicaEntry) -> None:
@@ -103,7 +91,7 @@
         """
         known = self.replica_by_host.get(entry.host)
         is_older = (
-            (entry.host, entry.started_ms) in self._removed_starts
+            entry in self._removed
             if known is None
             else _is_older(entry, known.entry)
         )
@@ -193,8 +181,7 @@
                 in_flight=known.in_flight,
                 known_for_s=known.known_for_s(self._clock.boottime_s()),
             )
-        known.entry = entry
-        known.usable_until_s = float('inf')
+        known.renew(entry)
 
     def _lapse(self, known: Replica, grace_s: float) -> None:
         until_s = self._clock.boottime_s() + grace_s
@@ -212,12 +199,7 @@
         )
 
     def _drop(self, replica: Replica) -> None:
-        replica.is_gone = True
-        start = (replica.host, replica.entry.started_ms)
-        self._removed_starts.pop(start, None)
-        self._removed_starts[start] = None
-        if len(self._removed_starts) > MAX_REMEMBERED_STARTS:
-            self._removed_starts.pop(next(iter(self._removed_starts)))
+        self._removed.add(replica)
         self.replica_by_host.pop(replica.host, None)
         for callback in self._gone_callbacks:
             callback(replica)
@@ -228,12 +210,11 @@
     return kernel.find(COMPONENT, DirectoryService)
 
 
-def _is_same_start(known: ReplicaEntry, entry: ReplicaEntry) -> bool:
-    return (known.started_ms, known.address, known.port) == (
-        entry.started_ms,
-        entry.address,
-        entry.port,
-    )
+def _copy_room(siblings: Iterable[Replica], replica: Replica) -> None:
+    """Take a new replica for brittle if those that it replaces are."""
+    for sibling in siblings:
+        if sibling.room is not None:
+            replica.room = sibling.room.copy()
 
 
 def _is_older(entry: ReplicaEntry, known: ReplicaEntry) -> bool:
--- a/marigoldhoist/components/gateway/attempts.py
+++ b/marigoldhoist/components/gateway/attempts.py
@@ -1,7 +1,7 @@
 """Attempts of one call: choose a replica, send, decide on a retry."""
 
 import contextlib
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterable, Iterator
 from typing import Final
 
 from marigoldhoist.components.canary.comparison import AnswerSample
@@ -282,7 +282,9 @@
         progress.note(
             REQUEST_SENT,
             **_send_log_fields(progress, replica),
-            closed_for_s=self._context.directory.closed_for_s(progress.service),
+            closed_for_s=_closed_for_s(
+                self._context.directory.usable(progress.service)
+            ),
         )
         if progress.has_stream_started:
             progress.note(
@@ -314,6 +316,16 @@
         )
 
 
+def _closed_for_s(replicas: Iterable[Replica]) -> dict[str, float]:
+    """Return how long replicas still want no requests, by host."""
+    now_s = SYSTEM_CLOCK.boottime_s()
+    return {
+        replica.host: round(replica.closed_until_s - now_s, 3)
+        for replica in replicas
+        if replica.closed_until_s > now_s
+    }
+
+
 def _send_log_fields(
     progress: CallProgress, replica: Replica
 ) -> dict[str, object]:
--- a/marigoldhoist/components/quarantine/crash_log.py
+++ b/marigoldhoist/components/quarantine/crash_log.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 
+from marigoldhoist.components.directory.models import ReplicaStart
 from marigoldhoist.components.quarantine.const import (
     CRASH_MEMORY_S,
     MAX_CRASHES,
     MAX_PARTS_PER_CRASH,
     REFUTATION_S,
 )
-from marigoldhoist.components.quarantine.models import Crash, ReplicaStart
+from marigoldhoist.components.quarantine.models import Crash
 
 
 class CrashLog:
--- a/marigoldhoist/components/quarantine/culprits.py
+++ b/marigoldhoist/components/quarantine/culprits.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import Final
 
+from marigoldhoist.components.directory.models import ReplicaStart
 from marigoldhoist.components.quarantine.const import (
     ANSWER_MEMORY_S,
     MIN_ANSWERED_SPAN_S,
@@ -26,7 +27,7 @@
     MIN_CRASHES_OF_OTHERS,
     SAME_MOMENT_S,
 )
-from marigoldhoist.components.quarantine.models import Crash, ReplicaStart
+from marigoldhoist.components.quarantine.models import Crash
 from marigoldhoist.components.quarantine.part_ids import is_whole_request
 
 NEVER_S: Final = float('-inf')
--- a/marigoldhoist/components/quarantine/evidence.py
+++ b/marigoldhoist/components/quarantine/evidence.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from marigoldhoist.components.directory.models import ReplicaStart
 from marigoldhoist.components.mirrors.findings import ReceivedFinding
 from marigoldhoist.components.quarantine.answered_parts import AnsweredParts
 from marigoldhoist.components.quarantine.const import CRASH_MEMORY_S
@@ -29,7 +30,6 @@
     AnswerReport,
     Crash,
     HeldPart,
-    ReplicaStart,
 )
 from marigoldhoist.components.quarantine.part_ids import (
     RequestParts,
--- a/marigoldhoist/components/quarantine/exchange.py
+++ b/marigoldhoist/components/quarantine/exchange.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from marigoldhoist.components.directory.models import ReplicaStart
 from marigoldhoist.components.quarantine.models import (
     AnswerReport,
     Crash,
@@ -15,7 +16,6 @@
     HeldPart,
     HeldReport,
     QuarantineFinding,
-    ReplicaStart,
 )
 
 
--- a/marigoldhoist/components/quarantine/models.py
+++ b/marigoldhoist/components/quarantine/models.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from marigoldhoist.components.directory.models import ReplicaStart
 from marigoldhoist.components.quarantine.const import (
     FIRST_HOLD_S,
     MAX_CRASHES,
@@ -20,9 +21,6 @@
 
 TimesHeld = Annotated[int, msgspec.Meta(ge=1, le=64)]
 
-# Host and start time of a replica.
-ReplicaStart = tuple[str, int]
-
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
     """A crash and the parts in flight there, with their place in the prompt."""
--- a/marigoldhoist/components/quarantine/service.py
+++ b/marigoldhoist/components/quarantine/service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from marigoldhoist.components.directory.models import Replica
+from marigoldhoist.components.directory.models import Replica, ReplicaStart
 from marigoldhoist.components.directory.service import find_directory
 from marigoldhoist.components.feeds.service import FeedService
 from marigoldhoist.components.mirrors.service import find_mirrors
@@ -27,14 +27,13 @@
     log_held,
 )
 from marigoldhoist.components.quarantine.inspection import has_ended
-from marigoldhoist.components.quarantine.models import Crash, Hold, ReplicaStart
+from marigoldhoist.components.quarantine.models import Crash, Hold
 from marigoldhoist.components.quarantine.part_ids import RequestParts
 from marigoldhoist.components.quarantine.settings import QuarantineSettings
 from marigoldhoist.components.quarantine.storage import HeldPartStorage
 from marigoldhoist.components.quarantine.work import (
     Work,
     WorkTracker,
-    start_of,
 )
 from marigoldhoist.core.clock import SYSTEM_CLOCK, SystemClock
 from marigoldhoist.core.events import emit
@@ -239,8 +238,8 @@
 
     def _forget(self, replica: Replica) -> None:
         self._work.forget(replica)
-        self._evidence.forget_replica(start_of(replica))
-        self._inspection_by_start.pop(start_of(replica), None)
+        self._evidence.forget_replica(replica.entry.start)
+        self._inspection_by_start.pop(replica.entry.start, None)
 
 
 def find_quarantine(kernel: Kernel) -> QuarantineService:
--- a/marigoldhoist/components/quarantine/work.py
+++ b/marigoldhoist/components/quarantine/work.py
@@ -3,9 +3,8 @@
 import collections
 import dataclasses
 
-from marigoldhoist.components.directory.models import Replica
+from marigoldhoist.components.directory.models import Replica, ReplicaStart
 from marigoldhoist.components.quarantine.const import ENDED_CALL_MEMORY_S
-from marigoldhoist.components.quarantine.models import ReplicaStart
 from marigoldhoist.components.quarantine.part_ids import RequestParts
 
 
@@ -27,7 +26,7 @@
     @property
     def start(self) -> ReplicaStart:
         """Return the replica and its start."""
-        return start_of(self.replica)
+        return self.replica.entry.start
 
 
 @dataclasses.dataclass(slots=True)
@@ -89,9 +88,4 @@
 
     def forget(self, replica: Replica) -> None:
         """Drop the attempts at a replica that is gone."""
-        self._work_by_start.pop(start_of(replica), None)
-
-
-def start_of(replica: Replica) -> ReplicaStart:
-    """Return the name and the start time of a replica."""
-    return replica.host, replica.entry.started_ms
+        self._work_by_start.pop(replica.entry.start, None)
--- a/tests/components/directory/test_service.py
+++ b/tests/components/directory/test_service.py
@@ -121,7 +121,6 @@
 class TestEntryWrittenAnew:
     """A replica whose entry comes back with the same start is the same."""
 
-    @pytest.mark.xfail(strict=False, reason='KNOWN-RED 8')
     def test_keeps_what_it_announced(self) -> None:
         fixture = Fixture()
         known = fixture.directory.usable('s')[0]
@@ -135,7 +134,6 @@
         assert again.in_flight == 1
         assert again.slots == 4
 
-    @pytest.mark.xfail(strict=False, reason='KNOWN-RED 8')
     def test_replica_that_leaves_keeps_leaving(self) -> None:
         fixture = Fixture()
         fixture.directory.usable('s')[0].is_leaving = True
@@ -151,7 +149,6 @@
         fixture.directory.put(dataclasses.replace(ENTRY, started_ms=2))
         assert fixture.directory.usable('s')[0].has_turn(fixture.clock.now_s)
 
-    @pytest.mark.xfail(strict=False, reason='KNOWN-RED 8')
     def test_replica_behind_a_foreign_answer_keeps_its_pause(self) -> None:
         fixture = Fixture()
         known = fixture.directory.usable('s')[0]
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import pytest
-
 from tests.platform.harness import GatewayHarness, running_gateway
 from tests.platform.test_restored_store import wait_until
 from tools.platform_standins.replica import ReplicaFault
@@ -93,7 +91,6 @@
 class TestEntryWrittenAnew:
     """What a replica announced holds until it is started anew."""
 
-    @pytest.mark.xfail(strict=False, reason='KNOWN-RED 8')
     def test_replica_that_wants_a_pause_gets_none_of_the_calls(self) -> None:
         async def scenario() -> int:
             async with running_gateway() as harness:
@@ -109,7 +106,6 @@
 
         assert asyncio.run(scenario()) == 0
 
-    @pytest.mark.xfail(strict=False, reason='KNOWN-RED 8')
     def test_replica_that_leaves_gets_none_of_the_calls(self) -> None:
         async def scenario() -> int:
             async with running_gateway() as harness:
