Learn what a replica announces in an answer for which nobody waits

A replica that turns a request away when its deadline passes in the queue answers a moment after the call has ended here, as its deadline began a transit time later; the same holds where the caller has left. The connection was aborted at once and the pause in the answer lost, though the replica holds this daemon to it.

The head is now awaited for 0.1 s more, by a task that the call does not wait for, and then the connection is aborted; a replica that was not about to answer works on for as long, of the half second that it may.

--- a/marigoldhoist/components/gateway/attempts.py
+++ b/marigoldhoist/components/gateway/attempts.py
@@ -24,7 +24,7 @@
 from marigoldhoist.components.gateway.peer_attempts import PeerAttempts
 from marigoldhoist.components.gateway.progress import CallProgress
 from marigoldhoist.components.gateway.replica_choice import ReplicaChoice
-from marigoldhoist.components.gateway.sender import ReplicaResponse
+from marigoldhoist.components.gateway.replica_response import ReplicaResponse
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
 from marigoldhoist.core.verdict import Verdict
--- a/marigoldhoist/components/gateway/const.py
+++ b/marigoldhoist/components/gateway/const.py
@@ -41,6 +41,9 @@
 MAX_REFUSAL_BODY_BYTES: Final = 64 * 1024
 # Time for the rest of a refusal, which the caller waits for.
 REFUSAL_BODY_TIMEOUT_S: Final = 0.25
+# How long an answer is awaited for which the call has no time left. The replica
+# works on for as long if it was not about to answer.
+LATE_HEAD_TIMEOUT_S: Final = 0.1
 # Parts of responses to other requests that are skipped on one connection.
 MAX_SKIPPED_ITEMS: Final = 64
 
--- a/marigoldhoist/components/gateway/peer_attempts.py
+++ b/marigoldhoist/components/gateway/peer_attempts.py
@@ -11,7 +11,7 @@
 from marigoldhoist.components.gateway.models import ForwardingContext
 from marigoldhoist.components.gateway.peer_sender import PeerCall
 from marigoldhoist.components.gateway.progress import CallProgress
-from marigoldhoist.components.gateway.sender import ReplicaResponse
+from marigoldhoist.components.gateway.replica_response import ReplicaResponse
 from marigoldhoist.components.handover.const import MAX_PEERS_PER_CALL
 from marigoldhoist.components.handover.models import Handover
 from marigoldhoist.components.mirrors.membership import Member
--- a/marigoldhoist/components/gateway/peer_sender.py
+++ b/marigoldhoist/components/gateway/peer_sender.py
@@ -26,7 +26,10 @@
     ReplicaConnection,
     ReplicaPool,
 )
-from marigoldhoist.components.gateway.sender import HEAD, ReplicaResponse
+from marigoldhoist.components.gateway.replica_response import (
+    HEAD,
+    ReplicaResponse,
+)
 from marigoldhoist.components.handover.const import COMPONENT as HANDOVER
 from marigoldhoist.components.handover.models import Handover
 from marigoldhoist.components.handover.service import (
--- a/marigoldhoist/components/gateway/sender.py
+++ b/marigoldhoist/components/gateway/sender.py
@@ -11,8 +11,8 @@
 from marigoldhoist.components.directory.models import LoadReport, Replica
 from marigoldhoist.components.directory.service import DirectoryService
 from marigoldhoist.components.gateway.const import (
+    LATE_HEAD_TIMEOUT_S,
     MAX_REFUSAL_BODY_BYTES,
-    MAX_RESPONSE_BODY_BYTES,
     MAX_SKIPPED_ITEMS,
     REFUSAL_BODY_TIMEOUT_S,
 )
@@ -22,7 +22,7 @@
     MalformedMessageError,
 )
 from marigoldhoist.components.gateway.events import ANSWER_PASSED_OVER
-from marigoldhoist.components.gateway.messages import End, Item, MessageHead
+from marigoldhoist.components.gateway.messages import MessageHead
 from marigoldhoist.components.gateway.models import (
     Call,
     Dialect,
@@ -34,103 +34,19 @@
     ReplicaConnection,
     ReplicaPool,
 )
+from marigoldhoist.components.gateway.replica_response import (
+    HEAD,
+    ReplicaResponse,
+)
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.verdict import Verdict
 
-HEAD = 'HEAD'
-SUCCESS_STATUSES = range(200, 300)
 # These statuses imply that the request was not run, so a response with one of
 # them but without the not-run header is not trusted.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
-class ReplicaResponse:
-    """A replica's response whose head was read and whose body follows.
-
-    `time_to_head_s` is the time from the send to the head, `body_wait_s` the
-    time spent waiting for body data; neither includes the time spent writing
-    to the caller. `is_from_peer` means that another daemon passed it on.
-    """
-
-    def __init__(
-        self,
-        replica: Replica,
-        connection: ReplicaConnection,
-        head: MessageHead,
-        metadata: ResponseMetadata,
-        *,
-        has_body: bool = True,
-    ) -> None:
-        self.replica = replica
-        self.head = head
-        self.metadata = metadata
-        self.time_to_head_s: float = 0
-        self.body_wait_s: float = 0
-        self._connection = connection
-        self._has_body = has_body
-        self._is_complete = False
-        self.is_from_peer = False
-
-    @property
-    def is_success(self) -> bool:
-        """Return whether the status is 2xx."""
-        return self.head.status in SUCCESS_STATUSES
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield parts of the body; raise AttemptError if it is truncated."""
-        item = await self._next_item()
-        while item is not End.OF_MESSAGE:
-            if isinstance(item, bytes):
-                yield item
-            item = await self._next_item()
-
-    async def _next_item(self) -> Item:
-        """Return the next body part or the end of the message."""
-        if not self._has_body:
-            # The parser cannot know that a response to HEAD has no body, so
-            # the connection is not reused.
-            return End.OF_MESSAGE
-        wait_started_s = SYSTEM_CLOCK.boottime_s()
-        try:
-            item = await self._connection.next_item()
-        except ConnectionClosedError as error:
-            if self.head.is_close_delimited and not error.was_reset:
-                return End.OF_MESSAGE
-            raise AttemptError(
-                'answer cut', Verdict.MAY_HAVE_RUN, is_connection_lost=True
-            ) from error
-        except MalformedMessageError as error:
-            raise AttemptError(
-                'answer malformed', Verdict.MAY_HAVE_RUN
-            ) from error
-        self.body_wait_s += SYSTEM_CLOCK.boottime_s() - wait_started_s
-        self._is_complete = item is End.OF_MESSAGE
-        return item
-
-    async def body(self, max_bytes: int = MAX_RESPONSE_BODY_BYTES) -> bytes:
-        """Return the whole body.
-
-        Raise AttemptError if it is truncated or larger than `max_bytes`.
-        """
-        body = bytearray()
-        async for chunk in self.chunks():
-            body += chunk
-            if len(body) > max_bytes:
-                raise AttemptError(
-                    f'answer of over {max_bytes} bytes', Verdict.MAY_HAVE_RUN
-                )
-        return bytes(body)
-
-    def release(self, pool: ReplicaPool) -> None:
-        """Return the connection to the pool if reusable, else abort it."""
-        is_complete = self._is_complete and self.head.is_keep_alive
-        if is_complete and self._connection.is_reusable:
-            pool.release(self.replica, self._connection)
-        else:
-            self._connection.abort()
-
-
 class Sender:
     """Sends calls and tracks the requests in flight at each replica.
 
@@ -148,6 +64,7 @@
         self._dialect = dialect
         self._pool = pool
         self._directory = directory
+        self._listening: set[asyncio.Task[None]] = set()
         self.announcements = AnnouncementRecorder(
             fleet_size, rng, siblings=directory.siblings
         )
@@ -176,6 +93,9 @@
                 response = await self._request_response(
                     call, forwarding, replica, connection
                 )
+            except asyncio.CancelledError:
+                self._listen_late(replica, connection, call.request_id)
+                raise
             except BaseException:
                 connection.abort()
                 raise
@@ -194,6 +114,39 @@
             replica, is_repeatable=is_repeatable
         )
 
+    def _listen_late(
+        self, replica: Replica, connection: ReplicaConnection, request_id: str
+    ) -> None:
+        """Read an answer for which nobody waits, then abort the connection.
+
+        A replica that turns a request away at its deadline does so a moment
+        after the call has ended, and holds this daemon to what it says.
+        """
+        listening = asyncio.get_running_loop().create_task(
+            self._read_late_head(replica, connection, request_id)
+        )
+        self._listening.add(listening)
+        listening.add_done_callback(self._listening.discard)
+
+    async def _read_late_head(
+        self, replica: Replica, connection: ReplicaConnection, request_id: str
+    ) -> None:
+        # Without a head in time there is nothing to learn.
+        nothing_said = (
+            TimeoutError,
+            ConnectionClosedError,
+            MalformedMessageError,
+        )
+        try:
+            with contextlib.suppress(*nothing_said):
+                async with asyncio.timeout(LATE_HEAD_TIMEOUT_S):
+                    _, metadata = await self._read_matching_head(
+                        connection, request_id
+                    )
+                self._record_metadata(replica, metadata, connection, request_id)
+        finally:
+            connection.abort()
+
     async def _connect(
         self, replica: Replica, is_repeatable: bool
     ) -> ReplicaConnection:
--- a/marigoldhoist/components/gateway/stream_delivery.py
+++ b/marigoldhoist/components/gateway/stream_delivery.py
@@ -17,7 +17,7 @@
 from marigoldhoist.components.gateway.events import MODEL_RAISED
 from marigoldhoist.components.gateway.messages import LAST_CHUNK
 from marigoldhoist.components.gateway.progress import CallProgress
-from marigoldhoist.components.gateway.sender import ReplicaResponse
+from marigoldhoist.components.gateway.replica_response import ReplicaResponse
 from marigoldhoist.components.gateway.splitter import (
     EventSplitter,
     StreamEvent,
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -13,6 +13,9 @@
 BURST = 5
 CALL_PAUSE_S = 0.01
 CALLERS = 8
+# A request is queued for a little longer than its call may take.
+QUEUE_DEADLINE_MS = '300'
+QUEUED_S = 0.305
 
 
 async def call_for(harness: GatewayHarness, duration_s: float) -> list[int]:
@@ -121,6 +124,28 @@
         assert asyncio.run(scenario()) == 0
 
 
+class TestLateAnswer:
+    """A replica turns a request away whose call has just ended."""
+
+    def test_its_pause_is_learnt_all_the_same(self) -> None:
+        async def scenario() -> int:
+            async with running_gateway() as harness:
+                closed = harness.replica_by_name['p1']
+                closed.retry_after_s = 3.0
+                closed.shed_delay_s = QUEUED_S
+                closed.faults.append(ReplicaFault.SHED)
+                while closed.faults:
+                    await harness.call(
+                        '/unsafe/x', Request_Deadline=QUEUE_DEADLINE_MS
+                    )
+                await asyncio.sleep(0.5)
+                before = closed.arrivals
+                await call_from_many(harness, 0.5)
+                return closed.arrivals - before
+
+        assert asyncio.run(scenario()) == 0
+
+
 class TestTurnedAway:
     """A replica turns a request away and names a time."""
 
--- a/tools/platform_standins/replica.py
+++ b/tools/platform_standins/replica.py
@@ -102,6 +102,8 @@
         self.cancelled_ids: list[str] = []
         self.interrupted_ids: list[str] = []
         self.connections = 0
+        # How long a request is queued before it is turned away.
+        self.shed_delay_s = 0.0
 
     def entry(self, service: str, **changed: object) -> dict[str, object]:
         """Return the entry that the replica stores to register itself."""
@@ -160,6 +162,7 @@
             return True
         if fault is ReplicaFault.SHED:
             self._note_rejection()
+            await asyncio.sleep(self.shed_delay_s)
             headers = {'Not-Executed': '1', **self._announcement_headers()}
             if self.retry_after_s is not None:
                 headers['Retry-After'] = str(self.retry_after_s)
