Hand a call over if the replicas within reach may not serve it

A daemon that is cut off from one replica of a service, while the other one wants a pause of it, refused all calls, though a daemon beside it reaches the first one. Cause: a replica within reach counted as a way whether it takes requests or not, and calls then fell back to replicas that were known as unreachable, 0.4 s each where connects hang.

A way is now a replica within reach of a version that may serve, that wants requests, and that the call may try. Without one, and with others out of reach, the call goes to a peer or is refused at once. Where nothing is out of reach nothing changes.

--- a/marigoldhoist/components/gateway/attempts.py
+++ b/marigoldhoist/components/gateway/attempts.py
@@ -45,8 +45,8 @@
         self._progress = progress
         self._context = context
         self.part_guard = PartGuard(progress, context.quarantine)
-        self._peers = PeerAttempts(progress, context)
         self._replicas = ReplicaChoice(progress, context)
+        self._peers = PeerAttempts(progress, context, self._replicas)
 
     def admit(self) -> AdmittedCall:
         """Return the admitted call; raise RefusedError if it is refused."""
--- a/marigoldhoist/components/gateway/peer_attempts.py
+++ b/marigoldhoist/components/gateway/peer_attempts.py
@@ -11,6 +11,7 @@
 from marigoldhoist.components.gateway.models import ForwardingContext
 from marigoldhoist.components.gateway.peer_sender import PeerCall
 from marigoldhoist.components.gateway.progress import CallProgress
+from marigoldhoist.components.gateway.replica_choice import ReplicaChoice
 from marigoldhoist.components.gateway.replica_response import ReplicaResponse
 from marigoldhoist.components.handover.const import MAX_PEERS_PER_CALL
 from marigoldhoist.components.handover.models import Handover
@@ -21,9 +22,15 @@
 class PeerAttempts:
     """Hands one call over to daemons that reach a replica of its service."""
 
-    def __init__(self, progress: CallProgress, context: GatewayContext) -> None:
+    def __init__(
+        self,
+        progress: CallProgress,
+        context: GatewayContext,
+        replicas: ReplicaChoice,
+    ) -> None:
         self._progress = progress
         self._context = context
+        self._replicas = replicas
 
     def choose(self, route: Route) -> Member | None:
         """Return the peer to hand the call to, None if it is not needed.
@@ -32,7 +39,7 @@
         that was handed to this daemon is not handed on.
         """
         progress = self._progress
-        if not self._is_cut_off(route):
+        if not self._replicas.is_cut_off(route):
             return None
         selector = self._context.peer_sender.selector
         if not progress.is_handed_over and not selector.has_peers:
@@ -44,7 +51,7 @@
             raise RefusedError(
                 self._context.admission.refusal(
                     ErrorCode.NO_REPLICA,
-                    'no replica of the service can be reached',
+                    'no replica that can take the request can be reached',
                     progress.time_left_s,
                 )
             )
@@ -87,16 +94,6 @@
             and len(progress.tried_peers) < MAX_PEERS_PER_CALL
         )
 
-    def _is_cut_off(self, route: Route) -> bool:
-        """Return whether replicas are listed and none can be reached."""
-        usable = self._context.directory.usable(self._progress.service)
-        return bool(usable) and not any(
-            self._context.sender.reaches(
-                replica, is_repeatable=route.is_repeatable
-            )
-            for replica in usable
-        )
-
     def _record_send(self, peer: Member) -> PeerCall:
         progress = self._progress
         if not progress.tried_peers:
--- a/marigoldhoist/components/gateway/replica_choice.py
+++ b/marigoldhoist/components/gateway/replica_choice.py
@@ -1,6 +1,6 @@
 """Choose the replica for an attempt at one call."""
 
-from collections.abc import Container
+from collections.abc import Container, Iterable, Iterator
 
 from marigoldhoist.components.configuration.models import Route
 from marigoldhoist.components.directory.models import Replica
@@ -19,6 +19,24 @@
         self._progress = progress
         self._context = context
 
+    def is_cut_off(self, route: Route) -> bool:
+        """Return whether replicas may serve, but only ones out of reach do.
+
+        Those within reach may want no request now, or were tried before.
+        """
+        usable = self._context.directory.usable(self._progress.service)
+        if not any(replica.is_unreachable for replica in usable):
+            return False
+        eligible = list(self._eligible(usable))
+        reachable = [
+            replica for replica in eligible if self._reaches(replica, route)
+        ]
+        now_s = SYSTEM_CLOCK.boottime_s()
+        return len(reachable) < len(eligible) and not any(
+            replica.has_turn(now_s) and self._may_try(replica, route)
+            for replica in reachable
+        )
+
     def choose(self, route: Route) -> Replica:
         """Return a replica that was not tried yet.
 
@@ -61,6 +79,25 @@
                 return picked
         return None
 
+    def _eligible(self, replicas: Iterable[Replica]) -> Iterator[Replica]:
+        """Yield the replicas of the versions that may serve."""
+        progress = self._progress
+        versions = self._context.canary.eligible_versions(
+            progress.service, progress.call.session
+        )
+        for replica in replicas:
+            if versions is None or replica.entry.version in versions:
+                yield replica
+
+    def _reaches(self, replica: Replica, route: Route) -> bool:
+        return self._context.sender.reaches(
+            replica, is_repeatable=route.is_repeatable
+        )
+
+    def _may_try(self, replica: Replica, route: Route) -> bool:
+        is_tried = replica.host in self._progress.tried_hosts
+        return route.is_repeatable or not is_tried
+
     def _candidates(self, route: Route) -> list[Replica]:
         """Return the replicas that want a request, if possible reachable."""
         now_s = SYSTEM_CLOCK.boottime_s()
@@ -72,10 +109,6 @@
             if replica.has_turn(now_s)
         ]
         reachable = [
-            replica
-            for replica in willing
-            if self._context.sender.reaches(
-                replica, is_repeatable=route.is_repeatable
-            )
+            replica for replica in willing if self._reaches(replica, route)
         ]
         return reachable or willing
--- a/tests/platform/test_cut_daemons.py
+++ b/tests/platform/test_cut_daemons.py
@@ -18,6 +18,7 @@
     GatewayHarness,
     running_gateway,
 )
+from tools.platform_standins.replica import ReplicaFault
 
 CUTS = pytest.mark.parametrize(
     'cut_link', (CutLink.refuse, CutLink.hang), ids=('refuse', 'hang')
@@ -35,6 +36,8 @@
 RESTORED_S = 1.2
 # A refusal takes no longer than a few calls between daemons.
 MAX_REFUSAL_S = 0.5
+# The pause that a replica wants in these tests is longer than their calls take.
+PAUSE_S = 5.0
 
 
 def cut_off(daemon: CutDaemon, cut_link: Callable[[CutLink], None]) -> None:
@@ -64,6 +67,55 @@
             await daemon.call(path, **MODEL_HEADERS[path])
 
 
+class TestPauseBesideACut:
+    """The replica that a daemon still reaches wants no requests of it."""
+
+    @CUTS
+    def test_calls_are_served_by_a_daemon_that_reaches_the_other_one(
+        self, cut_link: Callable[[CutLink], None]
+    ) -> None:
+        async def scenario() -> list[int]:
+            async with daemon_beside_a_sound_one() as (cut, _):
+                cut_link(cut.links[0])
+                for _ in range(NOTICING_CALLS):
+                    await cut.call('/safe/x')
+                closed = cut.replica_by_name['p2']
+                closed.retry_after_s = PAUSE_S
+                closed.faults.append(ReplicaFault.SHED)
+                while closed.faults:
+                    await cut.call('/safe/x')
+                paths = ('/safe/x', '/unsafe/x')
+                return [
+                    (await cut.call(paths[number % 2])).status
+                    for number in range(CALLS)
+                ]
+
+        statuses = asyncio.run(scenario())
+        assert statuses.count(200) >= MIN_SERVED_SHARE * CALLS
+
+    def test_calls_are_refused_at_once_if_nothing_is_cut(self) -> None:
+        async def scenario() -> tuple[set[int], float]:
+            async with daemon_beside_a_sound_one() as (daemon, _):
+                for name in ('p1', 'p2'):
+                    closed = daemon.replica_by_name[name]
+                    closed.retry_after_s = PAUSE_S
+                    closed.faults.append(ReplicaFault.SHED)
+                while any(
+                    daemon.replica_by_name[name].faults for name in ('p1', 'p2')
+                ):
+                    await daemon.call('/unsafe2/x')
+                began_s = time.monotonic()
+                statuses = {
+                    (await daemon.call('/unsafe/x')).status
+                    for _ in range(CALLS)
+                }
+                return statuses, (time.monotonic() - began_s) / CALLS
+
+        statuses, mean_s = asyncio.run(scenario())
+        assert statuses == {503}
+        assert mean_s < MAX_REFUSAL_S
+
+
 class TestCutDaemon:
     """One daemon reaches no replica, another one reaches all."""
 
