Find a request that crashes replicas beside its own prompt parts

Cause: a sound request that was at the first three crashes as well was held first, and explained them. A prompt part that is at no more than one crash without that request is no culprit by itself, and is no rival to the request any more.

Test: TestCrashingRequest.test_is_found_after_another_one_was_held_for_its_first_crashes failed before.

--- a/marigoldhoist/components/quarantine/culprits.py
+++ b/marigoldhoist/components/quarantine/culprits.py
@@ -70,12 +70,21 @@
         """Return whether it is a whole request."""
         return is_whole_request(self.part_id)
 
+    @property
+    def is_of_one_request(self) -> bool:
+        """Return whether it is a prompt part that explains what a request does.
+
+        It has the crashes of that request, also those that are explained by a
+        request which is held.
+        """
+        return not self.is_request and self.of_others < MIN_CRASHES_OF_OTHERS
+
     @property
     def is_strong(self) -> bool:
         """Return whether the crashes are enough to hold the part back."""
         if self.is_on_probation:
             return self.crashes > 0
-        if not self.is_request and self.of_others < MIN_CRASHES_OF_OTHERS:
+        if self.is_of_one_request:
             return False
         if self.was_answered:
             return (
@@ -157,6 +166,7 @@
     """Return whether another part may as well have caused the crashes."""
     return any(
         other.part_id != suspicion.part_id
+        and not (suspicion.is_request and other.is_of_one_request)
         and other.order >= suspicion.order
         and not other.replicas.isdisjoint(suspicion.replicas)
         and not (suspicion.is_request and other.order == suspicion.order)
--- a/tests/components/quarantine/test_culprits.py
+++ b/tests/components/quarantine/test_culprits.py
@@ -117,6 +117,16 @@
         )
         assert culprits(crashes) == {REQUEST}
 
+    def test_is_found_after_another_one_was_held_for_its_first_crashes(
+        self,
+    ) -> None:
+        crashes = crashes_with(
+            [(OTHER, REQUEST, COMPANION)] * (MIN_CRASHES - 1)
+            + [(OTHER, REQUEST)] * MIN_CRASHES
+        )
+        evidence = Evidence(crashes, {}, held_requests=frozenset((COMPANION,)))
+        assert set(find_culprits(evidence)) == {REQUEST}
+
     def test_that_was_answered_is_not_found(self) -> None:
         crashes = crashes_with([(REQUEST,)] * MIN_CRASHES)
         assert not culprits(crashes, {REQUEST: crashes[0].at_s + 0.01})
