--- a/tests/platform/test_rejected_versions.py
+++ b/tests/platform/test_rejected_versions.py
@@ -4,8 +4,10 @@
 import contextlib
 from collections.abc import AsyncIterator
 
+from marigoldhoist.components.canary.const import COMPONENT as CANARY
+from marigoldhoist.components.canary.service import CanaryService
 from marigoldhoist.components.directory.service import DirectoryService
-from tests.platform.harness import GatewayHarness
+from tests.platform.harness import GatewayHarness, running_gateway
 from tests.platform.test_restored_store import stored_states, wait_until
 from tests.platform.test_roll_outs import (
     FAILS,
@@ -14,7 +16,11 @@
     ORDER_KEY,
     roll_out_under_traffic,
 )
-from tools.platform_standins.store import OPERATOR_TOPIC, REPLICAS_TOPIC
+from tools.platform_standins.store import (
+    OPERATOR_TOPIC,
+    REPLICAS_TOPIC,
+    STATUS_TOPIC,
+)
 
 CALLS = 100
 REJECTED = 'p3'
@@ -72,6 +78,35 @@
         assert asyncio.run(scenario()) == 0
 
 
+class TestLateState:
+    """Another daemon's roll-back is read after the next order."""
+
+    def test_rejected_version_gets_no_calls(self) -> None:
+        async def scenario() -> int:
+            async with running_gateway() as harness:
+                await harness.add_replica(REJECTED, 'plain', version='v2')
+                await harness.wait_until_ready()
+                roll_outs = harness.kernel.find(
+                    CANARY, CanaryService
+                ).roll_out_by_service
+                await harness.store.put(OPERATOR_TOPIC, ORDER_KEY, ORDER)
+                await wait_until(lambda: 'plain' in roll_outs)
+                next_order = {**ORDER, 'target': 'v3', 'over_s': 60}
+                await harness.store.put(OPERATOR_TOPIC, ORDER_KEY, next_order)
+                await wait_until(
+                    lambda: roll_outs['plain'].order.target == 'v3'
+                )
+                await harness.store.put(
+                    STATUS_TOPIC,
+                    ORDER_KEY,
+                    {'state': 'rolled_back', 'target': 'v2'},
+                )
+                await asyncio.sleep(SETTLE_S)
+                return await calls_to_rejected(harness, harness)
+
+        assert asyncio.run(scenario()) == 0
+
+
 class TestDaemonThatStartsLater:
     """It has not seen the order under which a version was rejected."""
 
