--- a/tools/soak/daemons.py
+++ b/tools/soak/daemons.py
@@ -24,6 +24,8 @@
         self, name: str, folder: pathlib.Path, settings: dict[str, Any]
     ) -> None:
         self.name = name
+        # The root of the release that is started next, None for this one.
+        self.release: pathlib.Path | None = None
         self._ip = next_address()
         self.caller_address = f'{self._ip}:8080'
         self.readiness_address = f'{self._ip}:8081'
@@ -67,13 +69,23 @@
         with self.log_path.open('ab') as log:
             self._process = subprocess.Popen(
                 [sys.executable, '-m', 'marigoldhoist.platform'],
-                env={**os.environ, 'MARIGOLDHOIST_NODE_FILE': str(path)},
+                cwd=self.release,
+                env=self._environment(path),
                 stdout=log,
                 stderr=log,
             )
         self.is_paused = False
         self.is_stopping = False
 
+    def _environment(self, settings_path: pathlib.Path) -> dict[str, str]:
+        environment = {
+            **os.environ,
+            'MARIGOLDHOIST_NODE_FILE': str(settings_path),
+        }
+        if self.release is not None:
+            environment['PYTHONPATH'] = str(self.release)
+        return environment
+
     def note_fault(self) -> None:
         """Record that the process was killed, paused or resumed just now."""
         self._last_fault_s = asyncio.get_running_loop().time()
