--- a/marigoldhoist/components/canary/rejections.py
+++ b/marigoldhoist/components/canary/rejections.py
@@ -15,7 +15,12 @@
     REJECTION_LIFTED,
     VERSION_REJECTED,
 )
-from marigoldhoist.components.canary.models import OrderMark, RollOutOrder
+from marigoldhoist.components.canary.models import (
+    OrderMark,
+    RollOutOrder,
+    RollOutState,
+    RollOutStatus,
+)
 from marigoldhoist.core.events import emit
 
 # Limit for all services together; the rejections of the oldest orders go first.
@@ -77,6 +82,7 @@
 
     def __init__(self) -> None:
         self._entry_by_key: dict[_Key, _Entry] = {}
+        self._replaced_order_by_service: dict[str, RollOutOrder] = {}
 
     def of_service(self, service: str) -> set[str]:
         """Return the rejected versions of a service."""
@@ -101,6 +107,18 @@
         rejection = Rejection(order.service, order.target, order.mark)
         self._put(rejection, source='roll-out')
 
+    def note_replaced(self, order: RollOutOrder) -> None:
+        """Remember an order whose state may be read after the next one."""
+        self._replaced_order_by_service[order.service] = order
+
+    def read_earlier(self, status: RollOutStatus) -> None:
+        """Reject the target of a replaced order that was rolled back."""
+        replaced = self._replaced_order_by_service.get(status.service)
+        if replaced is None or replaced.target != status.target:
+            return
+        if status.state is RollOutState.ROLLED_BACK:
+            self.reject(replaced)
+
     def lift(self, order: RollOutOrder, standing: Standing) -> None:
         """Allow the target of an order that is newer, or that completed it."""
         entry = self._entry_by_key.get((order.service, order.target))
--- a/marigoldhoist/components/canary/service.py
+++ b/marigoldhoist/components/canary/service.py
@@ -67,8 +67,6 @@
         self._status_handler: Callable[[FeedUpdate], None] | None = None
         self._writers: asyncio.Task[None] | None = None
         self._rejections = RejectedVersions()
-        # The order before the newest one, whose state may be read after both.
-        self._replaced_order_by_service: dict[str, RollOutOrder] = {}
         self.roll_out_by_service: dict[str, RollOut] = {}
 
     def attach(
@@ -122,7 +120,7 @@
                 self._held_orders.hold(order, known.order)
                 return
         if known is not None:
-            self._replaced_order_by_service[order.service] = known.order
+            self._rejections.note_replaced(known.order)
             if not known.is_target_allowed:
                 self._rejections.reject(known.order)
         self._rejections.lift(order, Standing.ORDERED_AGAIN)
@@ -159,7 +157,7 @@
         if roll_out is None:
             return
         if roll_out.order.target != status.target:
-            self._apply_earlier(status)
+            self._rejections.read_earlier(status)
             return
         if roll_out.state.is_final or roll_out.state is status.state:
             _confirm_stored(roll_out, status, era)
@@ -228,14 +226,6 @@
         if session:
             self._sessions.record(session, version, SYSTEM_CLOCK.boottime_s())
 
-    def _apply_earlier(self, status: RollOutStatus) -> None:
-        """Reject the target of the order before, if it was rolled back."""
-        replaced = self._replaced_order_by_service.get(status.service)
-        if replaced is None or replaced.target != status.target:
-            return
-        if status.state is RollOutState.ROLLED_BACK:
-            self._rejections.reject(replaced)
-
     @property
     def _is_status_known(self) -> bool:
         feed = self._feeds.feed_by_topic.get(Topic.STATUS)
--- a/marigoldhoist/components/quarantine/culprits.py
+++ b/marigoldhoist/components/quarantine/culprits.py
@@ -165,15 +165,21 @@
 def _has_rival(suspicion: Suspicion, suspicions: Iterable[Suspicion]) -> bool:
     """Return whether another part may as well have caused the crashes."""
     return any(
-        other.part_id != suspicion.part_id
-        and not (suspicion.is_request and other.is_of_one_request)
-        and other.order >= suspicion.order
-        and not other.replicas.isdisjoint(suspicion.replicas)
-        and not (suspicion.is_request and other.order == suspicion.order)
+        _is_rival(suspicion, other)
         for other in suspicions
+        if other.part_id != suspicion.part_id
     )
 
 
+def _is_rival(suspicion: Suspicion, other: Suspicion) -> bool:
+    if suspicion.is_request and other.is_of_one_request:
+        return False
+    if suspicion.is_request and other.order == suspicion.order:
+        return False
+    is_elsewhere = other.replicas.isdisjoint(suspicion.replicas)
+    return other.order >= suspicion.order and not is_elsewhere
+
+
 def _suspicions(evidence: Evidence) -> Iterator[Suspicion]:
     newest_s = max((crash.at_s for crash in evidence.crashes), default=0)
     crashes_by_part = _crashes_by_part(evidence)
