--- a/tools/platform_standins/replica.py
+++ b/tools/platform_standins/replica.py
@@ -103,7 +103,7 @@
         self.interrupted_ids: list[str] = []
         self.connections = 0
         # How long a request is queued before it is turned away.
-        self.shed_delay_s = 0.0
+        self.shed_delay_s: float = 0
 
     def entry(self, service: str, **changed: object) -> dict[str, object]:
         """Return the entry that the replica stores to register itself."""
