--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -12,6 +12,8 @@
     KEY_WITHDRAWAL_S,
     MAX_LATER_ARRIVALS,
     REPLICA_DRAIN_S,
+    REQUEST_CRASHES,
+    REQUEST_PREFIX,
     SCHEDULING_SLACK_S,
     STOP_GRACE_S,
 )
@@ -193,9 +195,11 @@
 
 def _check_crashing_parts(observations: Observations) -> Iterator[str]:
     for part_id, times_s in observations.crash_times_s_by_part.items():
-        if len(times_s) < CRASHES:
+        is_request = part_id.startswith(REQUEST_PREFIX)
+        crashes = REQUEST_CRASHES if is_request else CRASHES
+        if len(times_s) < crashes:
             continue
-        agreed_s = sorted(times_s)[CRASHES - 1] + AGREEMENT_S
+        agreed_s = sorted(times_s)[crashes - 1] + AGREEMENT_S
         later = [
             arrival
             for arrival in observations.crashing_arrivals
--- a/tools/soak/const.py
+++ b/tools/soak/const.py
@@ -19,6 +19,9 @@
 # Once so many replicas have crashed under one prompt part, daemons have a time
 # to agree on it, and then at most a few requests with it may reach replicas.
 CRASHES: Final = 5
+# The same for one request as a whole, whose path has a segment with a prefix.
+REQUEST_CRASHES: Final = 3
+REQUEST_PREFIX: Final = 'req'
 AGREEMENT_S: Final = 3.0
 MAX_LATER_ARRIVALS: Final = 3
 # Time for which a replica that crashed is away.
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -35,7 +35,7 @@
 Fault = Callable[['SoakWorld', random.Random], Awaitable[None]]
 
 FIRST_GENERATION = 1
-NEWEST_GENERATION = 3
+NEWEST_GENERATION = 4
 
 fault_by_name: dict[str, Fault] = {}
 _generation_by_name: dict[str, int] = {}
@@ -245,7 +245,14 @@
 async def crashing_part(world: 'SoakWorld', rng: random.Random) -> None:
     """Send requests with a part that crashes replicas, which start again."""
     with world.record_replica_fault():
-        await world.crashing_parts.send(rng, rng.randint(20, 60))
+        await world.crashing_parts.send_part(rng, rng.randint(20, 60))
+
+
+@fault(generation=4)
+async def crashing_request(world: 'SoakWorld', rng: random.Random) -> None:
+    """Send one request that crashes replicas again and again."""
+    with world.record_replica_fault():
+        await world.crashing_parts.send_request(rng, rng.randint(60, 100))
 
 
 @contextlib.asynccontextmanager
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -133,6 +133,7 @@
         """Start a replica behind a proxy and register it in the store."""
         replica = StandInReplica(name, EVENT_COUNT)
         replica.crashing_parts = self.crashing_parts.part_ids
+        replica.crashing_paths = self.crashing_parts.paths
         replica.on_crash = partial(self.crashing_parts.note_crash, name)
         replica.born = next(self._starts)
         replica.executed_requests = ExecutionRecorder(
