Let a completion that is read after the next order end a rejection

The completion now lifts it, as it does while the order is the newest. TestStanding.test_completion_that_is_read_after_the_next_order_lifts_it failed before.

--- a/marigoldhoist/components/canary/rejections.py
+++ b/marigoldhoist/components/canary/rejections.py
@@ -112,12 +112,14 @@
         self._replaced_order_by_service[order.service] = order
 
     def read_earlier(self, status: RollOutStatus) -> None:
-        """Reject the target of a replaced order that was rolled back."""
+        """Take the standing of a replaced order's target from its state."""
         replaced = self._replaced_order_by_service.get(status.service)
         if replaced is None or replaced.target != status.target:
             return
         if status.state is RollOutState.ROLLED_BACK:
             self.reject(replaced)
+        elif status.state is RollOutState.COMPLETED:
+            self.lift(replaced, Standing.COMPLETED)
 
     def lift(self, order: RollOutOrder, standing: Standing) -> None:
         """Allow the target of an order that is newer, or that completed it."""
--- a/tests/components/canary/test_rejections.py
+++ b/tests/components/canary/test_rejections.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from marigoldhoist.components.canary.models import OrderMark, RollOutOrder
+from marigoldhoist.components.canary.models import (
+    OrderMark,
+    RollOutOrder,
+    RollOutState,
+    RollOutStatus,
+)
 from marigoldhoist.components.canary.rejections import (
     MAX_REMEMBERED_REJECTIONS,
     RejectedVersions,
@@ -58,6 +63,21 @@
         rejections.read(STORED, ERA)
         assert not rejections.of_service('s')
 
+    def test_completion_that_is_read_after_the_next_order_lifts_it(
+        self, rejections: RejectedVersions
+    ) -> None:
+        rejections.note_replaced(ORDER)
+        rejections.read_earlier(
+            RollOutStatus('s', 'v2', RollOutState.COMPLETED)
+        )
+        assert not rejections.of_service('s')
+
+    def test_roll_back_that_is_read_after_the_next_order_counts(self) -> None:
+        known = RejectedVersions()
+        known.note_replaced(ORDER)
+        known.read_earlier(RollOutStatus('s', 'v2', RollOutState.ROLLED_BACK))
+        assert known.of_service('s') == {'v2'}
+
     def test_services_are_independent(
         self, rejections: RejectedVersions
     ) -> None:
