Let a call that is handed over after a send allow retries at one daemon only

A call that was sent before it is handed over is a repeat: it counts as a request where it was sent, and its retry is taken from the budget there, as before.

Tests: TestRetryBudget and test_call_that_was_sent_before_allows_no_retries failed before.

--- a/marigoldhoist/components/gateway/exchange.py
+++ b/marigoldhoist/components/gateway/exchange.py
@@ -78,7 +78,9 @@
         route = self._attempts.admit().route
         self._require_time_to_finish(route)
         self._progress.model = self._first_model(route)
-        self._context.retry_budgets.note_request(self._progress.service)
+        if not self._progress.send_count:
+            # One that was sent already counts where that was done.
+            self._context.retry_budgets.note_request(self._progress.service)
         delivery = delivery_by_kind[route.kind](
             self._progress, self._attempts, self._writer, self._context
         )
--- a/marigoldhoist/components/gateway/peer_attempts.py
+++ b/marigoldhoist/components/gateway/peer_attempts.py
@@ -96,7 +96,7 @@
 
     def _record_send(self, peer: Member) -> PeerCall:
         progress = self._progress
-        if not progress.tried_peers:
+        if not progress.tried_peers and not progress.send_count:
             self._context.retry_budgets.withdraw_request(progress.service)
         progress.note(
             CALL_HANDED_OVER,
--- a/tests/platform/test_cut_daemons.py
+++ b/tests/platform/test_cut_daemons.py
@@ -116,6 +116,37 @@
         assert mean_s < MAX_REFUSAL_S
 
 
+class TestRetryBudget:
+    """A call allows retries at one daemon, the one that sent it first."""
+
+    def test_call_that_was_sent_before_it_is_handed_over_counts_here(
+        self,
+    ) -> None:
+        async def scenario() -> list[int]:
+            async with daemon_beside_a_sound_one() as (cut, sound):
+                cut.links[0].refuse()
+                for _ in range(NOTICING_CALLS):
+                    await cut.call('/safe/x')
+                closed = cut.replica_by_name['p2']
+                closed.retry_after_s = PAUSE_S
+                closed.faults.append(ReplicaFault.SHED)
+                budgets = [
+                    daemon.gateway.context.retry_budgets
+                    for daemon in (cut, sound)
+                ]
+                before = [budget.remaining('plain') for budget in budgets]
+                await cut.call('/unsafe2/x')
+                assert not closed.faults
+                return [
+                    budget.remaining('plain') - known
+                    for budget, known in zip(budgets, before, strict=True)
+                ]
+
+        own, of_peer = asyncio.run(scenario())
+        assert own > 0
+        assert of_peer == 0
+
+
 class TestCutDaemon:
     """One daemon reaches no replica, another one reaches all."""
 
@@ -245,6 +276,21 @@
 
         assert asyncio.run(scenario()) == 401
 
+    @pytest.mark.parametrize(
+        ('sends', 'is_counted'), (('0', True), ('1', False))
+    )
+    def test_call_that_was_sent_before_allows_no_retries(
+        self, sends: str, is_counted: bool
+    ) -> None:
+        async def scenario() -> int:
+            async with running_gateway() as daemon:
+                budgets = daemon.gateway.context.retry_budgets
+                before = budgets.remaining('plain')
+                await daemon.hand_over('/safe/x', X_Handover_Send_Count=sends)
+                return budgets.remaining('plain') - before
+
+        assert (asyncio.run(scenario()) > 0) is is_counted
+
     def test_asks_no_model_that_the_route_lacks(self) -> None:
         async def scenario() -> set[str]:
             async with running_gateway() as daemon:
