--- /dev/null
+++ b/tools/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Compare checkouts on the users' bench, play by play."""
