Store the rejection of a version together with its roll-back

Cause: the rejection was stored up to 1.6 s after the state rolled_back could be read. An operator who orders the next version at once replaces the state, and a daemon that starts in between learns neither: on the code before, the new test test_daemon_that_starts_then_sends_no_calls fails, as the rejected version gets calls, and no rejection is among the records when the roll-back is.

Change: an append takes several records, all or none. The state rolled_back goes with the rejection of its target in one append, so one call as before.

Ruled out: storing the rejection first in a call of its own; it costs a call, and a lost answer between the two would leave a rejection without its state.

Conclusion: whoever can read the roll-back can read the rejection.

--- a/marigoldhoist/components/canary/rejection_writer.py
+++ b/marigoldhoist/components/canary/rejection_writer.py
@@ -17,12 +17,11 @@
     REJECTION_NOT_STORED,
     REJECTION_STORED,
 )
-from marigoldhoist.components.canary.rejections import Rejection
 from marigoldhoist.components.feeds.errors import (
     ConditionFailedError,
     StoreUnavailableError,
 )
-from marigoldhoist.components.feeds.models import Topic
+from marigoldhoist.components.feeds.models import NewRecord, Topic
 from marigoldhoist.core.events import emit
 
 # A random delay up to this long spreads the writes of the readers, so that most
@@ -59,24 +58,16 @@
         if not unstored or end is None or end.era != self._feeds.era:
             return
         rejection = unstored[0]
-        key, record = self._codec.encode_rejection(rejection)
+        record = NewRecord(*self._codec.encode_rejection(rejection))
         try:
-            await self._feeds.store.append(Topic.STATUS, key, record, end)
+            await self._feeds.store.append(Topic.STATUS, (record,), end)
         except (ConditionFailedError, StoreUnavailableError) as error:
             emit(
                 REJECTION_NOT_STORED,
                 reason=str(error),
-                **_log_fields(rejection),
+                **rejection.log_fields(),
             )
             await asyncio.sleep(STATUS_PAUSE_S)
             return
         self._rejections.note_stored(rejection, end.era)
-        emit(REJECTION_STORED, era=end.era, **_log_fields(rejection))
-
-
-def _log_fields(rejection: Rejection) -> dict[str, object]:
-    return {
-        'service': rejection.service,
-        'version': rejection.version,
-        'standing': rejection.standing.name.lower(),
-    }
+        emit(REJECTION_STORED, era=end.era, **rejection.log_fields())
--- a/marigoldhoist/components/canary/rejections.py
+++ b/marigoldhoist/components/canary/rejections.py
@@ -56,6 +56,14 @@
         """Return whether the version gets no requests."""
         return self.standing is Standing.REJECTED
 
+    def log_fields(self) -> dict[str, object]:
+        """Return the fields of log lines that name the rejection."""
+        return {
+            'service': self.service,
+            'version': self.version,
+            'standing': self.standing.name.lower(),
+        }
+
     def replaces(self, known: 'Rejection') -> bool:
         """Return whether it is newer than the known one."""
         return (self.order_mark, self.standing) > (
@@ -151,6 +159,17 @@
             if not entry.is_stored_in(era)
         ]
 
+    def unstored_of(
+        self, order: RollOutOrder, era: int | None
+    ) -> list[Rejection]:
+        """Return the rejection of an order's target if it is not stored."""
+        return [
+            rejection
+            for rejection in self.unstored(era)
+            if (rejection.service, rejection.version)
+            == (order.service, order.target)
+        ]
+
     def _put(self, rejection: Rejection, source: str) -> None:
         key = (rejection.service, rejection.version)
         known = self._entry_by_key.get(key)
--- a/marigoldhoist/components/canary/status_writer.py
+++ b/marigoldhoist/components/canary/status_writer.py
@@ -16,6 +16,7 @@
 )
 from marigoldhoist.components.canary.context import StorageContext
 from marigoldhoist.components.canary.events import (
+    REJECTION_STORED,
     STATUS_LOST,
     STATUS_NOT_WRITTEN,
     STATUS_WRITTEN,
@@ -23,15 +24,21 @@
 from marigoldhoist.components.canary.gate import RollOutGate
 from marigoldhoist.components.canary.models import (
     RollOut,
+    RollOutOrder,
     RollOutState,
     RollOutStatus,
 )
+from marigoldhoist.components.canary.rejections import Rejection
 from marigoldhoist.components.canary.traffic_split import RampSchedule
 from marigoldhoist.components.feeds.errors import (
     ConditionFailedError,
     StoreUnavailableError,
 )
-from marigoldhoist.components.feeds.models import Position, Topic
+from marigoldhoist.components.feeds.models import (
+    NewRecord,
+    Position,
+    Topic,
+)
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.events import emit
 
@@ -122,7 +129,7 @@
         if desired is roll_out.state:
             emit(STATUS_LOST, stored_era=roll_out.stored_era, **fields)
         try:
-            await self._append(status, end)
+            await self._append(status, order, end)
         except (ConditionFailedError, StoreUnavailableError) as error:
             emit(STATUS_NOT_WRITTEN, reason=str(error), **fields)
             await asyncio.sleep(STATUS_PAUSE_S)
@@ -132,9 +139,27 @@
         roll_out.state = desired
         roll_out.stored_era = end.era
 
-    async def _append(self, status: RollOutStatus, end: Position) -> None:
-        key, record = self._codec.encode_status(status)
-        await self._feeds.store.append(Topic.STATUS, key, record, end)
+    async def _append(
+        self, status: RollOutStatus, order: RollOutOrder, end: Position
+    ) -> None:
+        """Append a state, after the rejection if it is a roll-back.
+
+        The next order may follow the roll-back at once, and a daemon that
+        starts then learns of the rejection from its record alone.
+        """
+        rejections: list[Rejection] = []
+        if status.state is RollOutState.ROLLED_BACK:
+            self._rejections.reject(order)
+            rejections += self._rejections.unstored_of(order, end.era)
+        records = [
+            NewRecord(*self._codec.encode_rejection(rejection))
+            for rejection in rejections
+        ]
+        records.append(NewRecord(*self._codec.encode_status(status)))
+        await self._feeds.store.append(Topic.STATUS, records, end)
+        for rejection in rejections:
+            self._rejections.note_stored(rejection, end.era)
+            emit(REJECTION_STORED, era=end.era, **rejection.log_fields())
 
 
 def desired_state(
--- a/marigoldhoist/components/feeds/models.py
+++ b/marigoldhoist/components/feeds/models.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Sequence
 from typing import Protocol
 
 
@@ -23,6 +24,14 @@
     offset: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewRecord:
+    """A record to append; the store gives it its offset."""
+
+    key: str
+    value: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Position:
     """The next offset to read, valid only in the era of the source."""
@@ -97,9 +106,12 @@
         """
 
     async def append(
-        self, topic: Topic, key: str, value: bytes, expected_end: Position
+        self,
+        topic: Topic,
+        records: Sequence[NewRecord],
+        expected_end: Position,
     ) -> None:
-        """Append a record if the topic ends at `expected_end`.
+        """Append all records or none if the topic ends at `expected_end`.
 
         Raises ConditionFailedError if it ends elsewhere, or if the store is
         known to be in another era.
--- a/marigoldhoist/components/quarantine/storage.py
+++ b/marigoldhoist/components/quarantine/storage.py
@@ -9,7 +9,12 @@
     ConditionFailedError,
     StoreUnavailableError,
 )
-from marigoldhoist.components.feeds.models import KeyedRecord, Position, Topic
+from marigoldhoist.components.feeds.models import (
+    KeyedRecord,
+    NewRecord,
+    Position,
+    Topic,
+)
 from marigoldhoist.components.feeds.service import FeedService
 from marigoldhoist.components.quarantine.const import STORAGE_RETRY_S
 from marigoldhoist.components.quarantine.events import (
@@ -115,8 +120,7 @@
             batch = await store.newest(Topic.QUARANTINE)
             await store.append(
                 Topic.QUARANTINE,
-                part_id,
-                value,
+                (NewRecord(part_id, value),),
                 Position(batch.end, batch.era),
             )
         except (ConditionFailedError, StoreUnavailableError) as error:
--- a/marigoldhoist/platform/store.py
+++ b/marigoldhoist/platform/store.py
@@ -4,7 +4,7 @@
 import base64
 import dataclasses
 import struct
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Final
 from urllib.parse import urlencode
 
@@ -19,6 +19,7 @@
 from marigoldhoist.components.feeds.models import (
     Batch,
     KeyedRecord,
+    NewRecord,
     Position,
     Topic,
 )
@@ -139,9 +140,12 @@
         return Batch(records, offset + len(records), reply.era)
 
     async def append(
-        self, topic: Topic, key: str, value: bytes, expected_end: Position
+        self,
+        topic: Topic,
+        records: Sequence[NewRecord],
+        expected_end: Position,
     ) -> None:
-        """Append a record if the topic still ends at the expected offset.
+        """Append records if the topic still ends at the expected offset.
 
         The store compares offsets only. If it answers in another era, the
         offset was reached again by other records and the outcome is unknown.
@@ -150,11 +154,9 @@
             raise ConditionFailedError(
                 f'era {self._newest_era}, expected {expected_end.era}'
             )
-        raw_key = key.encode()
-        record = bytes((len(raw_key),)) + raw_key + value
         offset = expected_end.offset
         target = _request_target(APPEND_LOG, topic, {'at': offset})
-        body = RECORD_LENGTH.pack(len(record)) + record
+        body = b''.join(map(_framed, records))
         reply = await self._call('POST', target, body, 0)
         if reply.status in CONFLICT_STATUSES:
             raise ConditionFailedError(f'the topic does not end at {offset}')
@@ -280,6 +282,12 @@
     return int(text)
 
 
+def _framed(record: NewRecord) -> bytes:
+    raw_key = record.key.encode()
+    content = bytes((len(raw_key),)) + raw_key + record.value
+    return RECORD_LENGTH.pack(len(content)) + content
+
+
 def _page_records(page: NewestPage) -> Iterator[KeyedRecord]:
     for item in page.items:
         value = base64.b64decode(item.value)
--- a/tests/platform/test_rejected_versions.py
+++ b/tests/platform/test_rejected_versions.py
@@ -107,6 +107,40 @@
         assert asyncio.run(scenario()) == 0
 
 
+class TestNextOrderAtOnce:
+    """The next order comes as soon as the roll-back can be read."""
+
+    def test_rejection_is_stored_with_the_roll_back(self) -> None:
+        async def scenario() -> list[bool]:
+            async with roll_out_under_traffic(HEALTHY, FAILS) as harness:
+                topic = harness.store.topic_by_name[STATUS_TOPIC]
+                await wait_until(
+                    lambda: any(b'rolled_back' in raw for raw in topic.records)
+                )
+                return [b'rejected/' in raw for raw in topic.records]
+
+        assert any(asyncio.run(scenario()))
+
+    def test_daemon_that_starts_then_sends_no_calls(self) -> None:
+        async def scenario() -> int:
+            async with roll_out_under_traffic(HEALTHY, FAILS) as harness:
+                topic = harness.store.topic_by_name[STATUS_TOPIC]
+                await wait_until(
+                    lambda: any(b'rolled_back' in raw for raw in topic.records)
+                )
+                await harness.add_replica('p4', 'plain', version='v3')
+                next_order = {**ORDER, 'target': 'v3', 'over_s': 60}
+                await harness.store.put(OPERATOR_TOPIC, ORDER_KEY, next_order)
+                later = GatewayHarness('d2')
+                await later.join(harness)
+                try:
+                    return await calls_to_rejected(harness, later)
+                finally:
+                    later.kernel.stop()
+
+        assert asyncio.run(scenario()) == 0
+
+
 class TestDaemonThatStartsLater:
     """It has not seen the order under which a version was rejected."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,7 +9,12 @@
     HistoryLostError,
     StoreUnavailableError,
 )
-from marigoldhoist.components.feeds.models import Batch, Position, Topic
+from marigoldhoist.components.feeds.models import (
+    Batch,
+    NewRecord,
+    Position,
+    Topic,
+)
 from marigoldhoist.platform.store import PlatformStore
 from tests.platform.harness import HOST
 from tools.platform_standins.store import STATUS_TOPIC, StandInStore, StoreFault
@@ -76,12 +81,27 @@
 class TestAppends:
     """Conditional appends and lost responses."""
 
+    def test_records_are_appended_together(self) -> None:
+        async def scenario() -> list[str]:
+            fake_store, store = await start_store()
+            records = (NewRecord('c', b'3'), NewRecord('d', b'4'))
+            await store.append(Topic.STATUS, records, Position(2))
+            batch = await store.read(Topic.STATUS, 2, 0)
+            fake_store.stop()
+            return [record.key for record in batch.records]
+
+        assert asyncio.run(scenario()) == ['c', 'd']
+
     def test_append_requires_the_expected_end(self) -> None:
         async def scenario() -> int:
             fake_store, store = await start_store()
-            await store.append(Topic.STATUS, 'c', b'3', Position(2))
+            await store.append(
+                Topic.STATUS, (NewRecord('c', b'3'),), Position(2)
+            )
             with pytest.raises(ConditionFailedError):
-                await store.append(Topic.STATUS, 'd', b'4', Position(2))
+                await store.append(
+                    Topic.STATUS, (NewRecord('d', b'4'),), Position(2)
+                )
             fake_store.stop()
             return fake_store.topic_by_name[STATUS_TOPIC].end_offset
 
@@ -92,7 +112,9 @@
             fake_store, store = await start_store()
             fake_store.fault = StoreFault.LOST
             with pytest.raises(StoreUnavailableError):
-                await store.append(Topic.STATUS, 'c', b'3', Position(2))
+                await store.append(
+                    Topic.STATUS, (NewRecord('c', b'3'),), Position(2)
+                )
             fake_store.stop()
             return fake_store.topic_by_name[STATUS_TOPIC].end_offset
 
@@ -154,7 +176,9 @@
             fake_store.era = 4
             await store.newest(Topic.STATUS)
             with pytest.raises(ConditionFailedError):
-                await store.append(Topic.STATUS, 'c', b'3', Position(2, 3))
+                await store.append(
+                    Topic.STATUS, (NewRecord('c', b'3'),), Position(2, 3)
+                )
             fake_store.stop()
             return fake_store.topic_by_name[STATUS_TOPIC].end_offset
 
@@ -172,9 +196,9 @@
             await asyncio.sleep(0.05)
             end = Position(whole.end, whole.era)
             with pytest.raises(StoreUnavailableError):
-                await store.append(Topic.STATUS, 'c', b'3', end)
+                await store.append(Topic.STATUS, (NewRecord('c', b'3'),), end)
             with pytest.raises(ConditionFailedError):
-                await store.append(Topic.STATUS, 'c', b'3', end)
+                await store.append(Topic.STATUS, (NewRecord('c', b'3'),), end)
             fake_store.stop()
 
         asyncio.run(scenario())
--- a/tools/platform_standins/store.py
+++ b/tools/platform_standins/store.py
@@ -7,6 +7,7 @@
 import enum
 import json
 import struct
+from collections.abc import Iterator
 from typing import Any, Final
 
 from tools.platform_standins.http import (
@@ -194,16 +195,26 @@
         payload = json.dumps({'end': topic.end_offset}).encode()
         if expected is not None and int(expected) != topic.end_offset:
             return self._encode(412, body=payload)
-        record = request.body[LENGTH.size :]
-        key_end = 1 + record[0]
-        key = record[1:key_end].decode()
-        topic.append(key, record[key_end:])
+        for record in _records(request.body):
+            key_end = 1 + record[0]
+            key = record[1:key_end].decode()
+            topic.append(key, record[key_end:])
         self._wake_readers()
         return self._encode(
             200, body=json.dumps({'end': topic.end_offset}).encode()
         )
 
 
+def _records(body: bytes) -> Iterator[bytes]:
+    """Yield the records of an append, each after its length."""
+    start = 0
+    while start < len(body):
+        length = LENGTH.unpack_from(body, start)[0]
+        start += LENGTH.size
+        yield body[start : start + length]
+        start += length
+
+
 def _latest_records(topic: TopicLog) -> bytes:
     records = [
         {
