Survive unexpected errors, and serve slow callers to their end

Cause: operators of similar systems reported that one unexpected error took a process down, that a planned stop cut requests that had just come, and that slow but sound transfers were cut. All three can happen here: - Tasks of the event loop (feeds, states of roll-outs, gossip, pushes, quarantine, housekeeping, probes) ended for good with their first unexpected error, and the daemon went on with what it knew last. An error in a handler left the caller without an answer until its own deadline. - A stop closed connections as idle of which a part of a head had come. - A body had to come within the idle timeout whatever its size.

Change: core/background.py starts such a task again and logs why (1004); an unexpected error in a handler closes its connection (3820). A part of a head counts as unread input. A body has the idle timeout and the time that it takes at 16 KiB/s, so one that sends a byte now and then still ends with 408.

Ruled out: a 500 for an unexpected error, as the call may have run and a part of the answer may be out.

Conclusion: streams from replicas were bounded by the route's timeout already.

--- a/marigoldhoist/components/canary/service.py
+++ b/marigoldhoist/components/canary/service.py
@@ -30,7 +30,7 @@
     Rejection,
     Standing,
 )
-from marigoldhoist.components.canary.storage import run_writers
+from marigoldhoist.components.canary.storage import start_writers
 from marigoldhoist.components.canary.traffic_split import (
     RampSchedule,
     RecentSessions,
@@ -65,7 +65,7 @@
         self._schedule = RampSchedule(self._objectives.canary_share)
         self._held_orders = HeldOrders(SYSTEM_CLOCK.boottime_s)
         self._status_handler: Callable[[FeedUpdate], None] | None = None
-        self._writers: asyncio.Task[None] | None = None
+        self._writers: tuple[asyncio.Task[None], ...] = ()
         self._rejections = RejectedVersions()
         self.roll_out_by_service: dict[str, RollOut] = {}
 
@@ -88,14 +88,12 @@
             self._mirrors,
             codec,
         )
-        self._writers = asyncio.get_running_loop().create_task(
-            run_writers(context)
-        )
+        self._writers = start_writers(context)
 
     def stop(self) -> None:
         """Stop storing states and rejections."""
-        if self._writers is not None:
-            self._writers.cancel()
+        for writer in self._writers:
+            writer.cancel()
 
     def handle_order(
         self,
--- a/marigoldhoist/components/canary/storage.py
+++ b/marigoldhoist/components/canary/storage.py
@@ -5,10 +5,14 @@
 from marigoldhoist.components.canary.context import StorageContext
 from marigoldhoist.components.canary.rejection_writer import RejectionWriter
 from marigoldhoist.components.canary.status_writer import StatusWriter
+from marigoldhoist.core.background import start_background
 
 
-async def run_writers(context: StorageContext) -> None:
-    """Run the tasks that store, until cancelled."""
-    async with asyncio.TaskGroup() as writers:
-        writers.create_task(StatusWriter(context).run())
-        writers.create_task(RejectionWriter(context).run())
+def start_writers(
+    context: StorageContext,
+) -> tuple[asyncio.Task[None], ...]:
+    """Start the tasks that store."""
+    return (
+        start_background('states', StatusWriter(context).run),
+        start_background('rejections', RejectionWriter(context).run),
+    )
--- a/marigoldhoist/components/feeds/service.py
+++ b/marigoldhoist/components/feeds/service.py
@@ -12,6 +12,7 @@
     Store,
     Topic,
 )
+from marigoldhoist.core.background import start_background
 from marigoldhoist.core.errors import KernelError
 from marigoldhoist.core.kernel import BaseService, Kernel
 
@@ -83,8 +84,8 @@
             plan, self._sources, on_update, partial(self._count, plan.topic)
         )
         self.feed_by_topic[plan.topic] = feed
-        self._task_by_topic[plan.topic] = (
-            asyncio.get_running_loop().create_task(feed.follow())
+        self._task_by_topic[plan.topic] = start_background(
+            f'feed {plan.topic.value}', feed.follow
         )
 
     def _sources(self) -> list[Source]:
--- a/marigoldhoist/components/gateway/caller.py
+++ b/marigoldhoist/components/gateway/caller.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Protocol
+from typing import Final, Protocol
 
 from marigoldhoist.components.configuration.models import CallerLimits
 from marigoldhoist.components.gateway.connection import HttpConnection
@@ -11,7 +11,10 @@
     ConnectionClosedError,
     MalformedMessageError,
 )
-from marigoldhoist.components.gateway.events import CALLER_MALFORMED
+from marigoldhoist.components.gateway.events import (
+    CALL_HANDLER_FAILED,
+    CALLER_MALFORMED,
+)
 from marigoldhoist.components.gateway.messages import (
     End,
     Item,
@@ -23,6 +26,9 @@
 from marigoldhoist.core.events import emit
 
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+# A body may take longer than the idle timeout at this rate. Without a rate, a
+# caller that sends a byte now and then would hold its connection forever.
+MIN_BODY_BYTES_PER_S: Final = 16 * 1024
 
 # Serves one request; returns whether the connection can be reused.
 RequestHandler = Callable[
@@ -62,6 +68,11 @@
         self._is_head_too_large = False
         self.is_serving = False
 
+    @property
+    def has_unread_input(self) -> bool:
+        """Return whether a part of a request was received."""
+        return super().has_unread_input or self._requests.head_bytes > 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that serves requests."""
         super().connection_made(transport)
@@ -91,6 +102,9 @@
         except RefusedRequestError as error:
             emit(CALLER_MALFORMED, reason=error.failure.message)
             await self._refuse(error.failure)
+        except Exception as error:
+            emit(CALL_HANDLER_FAILED, error=repr(error))
+            self.abort()
         finally:
             self._registry.remove(self)
 
@@ -127,26 +141,29 @@
         if head.value(b'expect').lower() == '100-continue':
             await self.write(CONTINUE)
         try:
-            async with asyncio.timeout(self._registry.limits.idle_timeout_s):
-                return await self._whole_body()
+            return await self._whole_body()
         except TimeoutError as error:
             raise RefusedRequestError(
                 RequestFailure(ErrorCode.TOO_SLOW, 'the body came too slowly')
             ) from error
 
     async def _whole_body(self) -> bytes:
-        parts: list[bytes] = []
-        size = 0
-        item = await self._next()
-        while item is not End.OF_MESSAGE:
-            if not isinstance(item, bytes):
-                raise _malformed('a head within a body')
-            size += len(item)
-            if size > self._registry.limits.max_body_bytes:
-                raise _too_large('body', ErrorCode.BODY_TOO_LARGE)
-            parts.append(item)
+        """Return the body; raise TimeoutError if it comes too slowly."""
+        body = bytearray()
+        limits = self._registry.limits
+        async with asyncio.timeout(limits.idle_timeout_s) as timeout:
+            deadline_s = timeout.when() or 0
             item = await self._next()
-        return b''.join(parts)
+            while item is not End.OF_MESSAGE:
+                if not isinstance(item, bytes):
+                    raise _malformed('a head within a body')
+                body += item
+                if len(body) > limits.max_body_bytes:
+                    raise _too_large('body', ErrorCode.BODY_TOO_LARGE)
+                allowed_s = len(body) / MIN_BODY_BYTES_PER_S
+                timeout.reschedule(deadline_s + allowed_s)
+                item = await self._next()
+        return bytes(body)
 
     async def _next(self) -> Item:
         try:
--- a/marigoldhoist/components/gateway/events.py
+++ b/marigoldhoist/components/gateway/events.py
@@ -69,6 +69,12 @@
     'warning',
     "A caller's request was invalid, too large or too slow.",
 )
+CALL_HANDLER_FAILED = declare_event(
+    3820,
+    'call_handler_failed',
+    'error',
+    'An unexpected error ended the connection of a caller or another daemon.',
+)
 GATEWAY_LISTENING = declare_event(
     3810,
     'gateway_listening',
--- a/marigoldhoist/components/gateway/service.py
+++ b/marigoldhoist/components/gateway/service.py
@@ -36,6 +36,7 @@
 from marigoldhoist.components.gateway.settings import GatewaySettings
 from marigoldhoist.components.gateway.shutdown import ShutdownProgress
 from marigoldhoist.components.gateway.state_gauges import StateGauges
+from marigoldhoist.core.background import start_background
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.const import MS_PER_S
 from marigoldhoist.core.errors import KernelError
@@ -108,10 +109,9 @@
             await self._server.listen(
                 self._settings.metrics, self._serve_metrics
             )
-        loop = asyncio.get_running_loop()
         self._tasks += (
-            loop.create_task(self._run_housekeeping()),
-            loop.create_task(self._prober.run()),
+            start_background('housekeeping', self._run_housekeeping),
+            start_background('prober', self._prober.run),
         )
         emit(GATEWAY_LISTENING, callers=self._settings.callers)
 
--- a/marigoldhoist/components/mirrors/service.py
+++ b/marigoldhoist/components/mirrors/service.py
@@ -35,6 +35,7 @@
 )
 from marigoldhoist.components.mirrors.pusher import FindingPusher
 from marigoldhoist.components.mirrors.settings import MirrorSettings
+from marigoldhoist.core.background import start_background
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.const import MS_PER_S
 from marigoldhoist.core.events import emit
@@ -80,12 +81,8 @@
         )
         self._server = grpclib.server.Server([handler], codec=MsgpackCodec())
         await self._server.start(host, port)
-        self._gossip_task = asyncio.get_running_loop().create_task(
-            self._run_gossip_loop()
-        )
-        self._push_task = asyncio.get_running_loop().create_task(
-            self._pusher.run()
-        )
+        self._gossip_task = start_background('gossip', self._run_gossip_loop)
+        self._push_task = start_background('push', self._pusher.run)
 
     def stop(self) -> None:
         """Stop the gossip task, the peer server and the client."""
--- a/marigoldhoist/components/quarantine/service.py
+++ b/marigoldhoist/components/quarantine/service.py
@@ -35,6 +35,7 @@
     Work,
     WorkTracker,
 )
+from marigoldhoist.core.background import start_background
 from marigoldhoist.core.clock import SYSTEM_CLOCK, SystemClock
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.kernel import BaseService, Kernel
@@ -76,8 +77,8 @@
         self._storage = HeldPartStorage(
             feeds, self._clock, self._evidence.merge_held
         )
-        self._storage_task = asyncio.get_running_loop().create_task(
-            self._storage.run()
+        self._storage_task = start_background(
+            'quarantine storage', self._storage.run
         )
 
     def stop(self) -> None:
