Count the prompts before it when an answer is to be discarded

Hypothesis: an answer is discarded for the largest model if that one's first event is expected within 0.9 of the time left, on an idle replica. While a failure domain is cut off, the prompts before it delay it by 0.4 to 1.4 s (from the replicas' counts: 5 to 16 waiting), so it comes late, and its prefill delays the others.

Change: placement/prefill_backlog.py learns the delay at each replica from this daemon's own requests: heads that came later than their prompt explains, and responses that are overdue. The decision adds the mean delay of the replicas in reach. A prompt too short to observe has the base time as its estimate.

--- a/marigoldhoist/components/directory/models.py
+++ b/marigoldhoist/components/directory/models.py
@@ -13,6 +13,7 @@
     COUNT_TTL_S,
     SharedRoom,
 )
+from marigoldhoist.components.placement.prefill_backlog import PrefillBacklog
 
 # Name and start time, in milliseconds since 1970.
 ReplicaStart: TypeAlias = tuple[str, int]
@@ -74,12 +75,11 @@
 class Replica:
     """A replica and the state that this daemon keeps about it.
 
-    `pending_prefill_s` is the expected prefill time, in seconds, of this
-    daemon's requests whose responses have not begun. `usable_until_s` is the
-    boot time at which an expired entry is dropped. `suspicion_s` is how long
-    the next suspicion lasts. `warm_up_s` is how long the replica is slow after
-    it was first seen. `rate_limit` is None while it names no limit of its own,
-    `room` while it does not say that it is brittle.
+    `usable_until_s` is the boot time at which an expired entry is dropped.
+    `suspicion_s` is how long the next suspicion lasts. `warm_up_s` is how long
+    the replica is slow after it was first seen. `backlog` is what this daemon
+    knows of the prompts that wait there. `rate_limit` is None while it names no
+    limit of its own, `room` while it does not say that it is brittle.
     `is_leaving` is set once it announced that in an answer. Before the boot
     time `closed_until_s` it wants no requests of this daemon. It is
     `is_unreachable` from a connect that failed until one succeeds.
@@ -89,7 +89,7 @@
     first_seen_s: float = -math.inf
     warm_up_s: float = 0
     in_flight: int = 0
-    pending_prefill_s: float = 0
+    backlog: PrefillBacklog = dataclasses.field(default_factory=PrefillBacklog)
     report: LoadReport | None = None
     rate_limit: SharedRateLimit | None = None
     room: SharedRoom | None = None
--- a/marigoldhoist/components/gateway/attempts.py
+++ b/marigoldhoist/components/gateway/attempts.py
@@ -93,7 +93,7 @@
             workspace.name if workspace else '',
             progress.model,
             progress.last_event_id,
-            self.expected_first_event_s(progress.model) or 0,
+            self.expected_first_event_s(progress.model),
         )
         with self.part_guard.tracked(replica):
             async with self._context.sender.send(
@@ -251,8 +251,11 @@
     def expected_first_event_s(self, model: str) -> float | None:
         """Return the expected seconds to the first event, None if unknown."""
         prompt = self._progress.call.prompt
-        tokens = prompt.tokens_in if prompt else 0
-        return self._context.picker.prefill_times.expected_s(model, tokens)
+        if prompt is None:
+            return None
+        return self._context.picker.prefill_times.expected_s(
+            model, prompt.tokens_in
+        )
 
     def deadline_failure(self) -> RequestFailure:
         """Return the failure of a call whose deadline has passed."""
@@ -343,7 +346,7 @@
         'model': progress.model,
         'tokens_in': prompt.tokens_in if prompt else None,
         'own_in_flight': replica.in_flight,
-        'reading_s': round(replica.pending_prefill_s, 3),
+        'reading_s': round(replica.backlog.pending_s, 3),
         'counted_in_flight': report.in_flight if report else None,
         'count_age_s': round(now_s - report.counted_s, 3) if report else None,
         'limit_per_s': limit.rate_per_s if limit else None,
--- a/marigoldhoist/components/gateway/models.py
+++ b/marigoldhoist/components/gateway/models.py
@@ -60,8 +60,8 @@
 class ForwardingContext:
     """Data that the daemon adds to a call that it forwards to a replica.
 
-    `expected_prefill_s` is the expected time to the first event, in seconds,
-    0 if it is unknown.
+    `expected_prefill_s` is the expected time to the first event without other
+    prompts at the replica, in seconds, None if it is unknown.
     """
 
     replica_host: str
@@ -69,7 +69,7 @@
     workspace: str = ''
     model: str = ''
     resume_after: int = 0
-    expected_prefill_s: float = 0
+    expected_prefill_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/marigoldhoist/components/gateway/replica_picker.py
+++ b/marigoldhoist/components/gateway/replica_picker.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import statistics
 from collections.abc import Container, Sequence
 from typing import Final
 
@@ -104,6 +105,16 @@
         in_flight = sum(view.in_flight for view in views)
         return in_flight / slots if slots else 0
 
+    def mean_delay_s(self, replicas: Sequence[Replica]) -> float:
+        """Return the mean delay by other prompts at the replicas in reach."""
+        now_s = SYSTEM_CLOCK.boottime_s()
+        delays_s = [
+            replica.backlog.delay_s(now_s)
+            for replica in replicas
+            if not replica.is_unreachable
+        ]
+        return statistics.fmean(delays_s) if delays_s else 0
+
     def _estimates(
         self, replicas: Sequence[Replica], service_time_s: float
     ) -> list[ReplicaView]:
@@ -185,7 +196,7 @@
 
 def _penalty(replica: Replica, now_s: float) -> float:
     penalty = FAILURE_PENALTY * replica.failures(now_s)
-    penalty += PREFILL_PENALTY_PER_S * replica.pending_prefill_s
+    penalty += PREFILL_PENALTY_PER_S * replica.backlog.pending_s
     if now_s < replica.suspected_until_s:
         penalty += SUSPECT_PENALTY
     return penalty
--- a/marigoldhoist/components/gateway/sender.py
+++ b/marigoldhoist/components/gateway/sender.py
@@ -274,12 +274,20 @@
 
 
 @contextlib.contextmanager
-def _tracked_prefill(replica: Replica, expected_s: float) -> Iterator[None]:
-    replica.pending_prefill_s += expected_s
+def _tracked_prefill(
+    replica: Replica, expected_s: float | None
+) -> Iterator[None]:
+    if expected_s is None:
+        yield
+        return
+    backlog = replica.backlog
+    prefill = backlog.begin(SYSTEM_CLOCK.boottime_s(), expected_s)
     try:
         yield
-    finally:
-        replica.pending_prefill_s -= expected_s
+    except BaseException:
+        backlog.drop(prefill)
+        raise
+    backlog.finish(prefill, SYSTEM_CLOCK.boottime_s())
 
 
 @contextlib.contextmanager
--- a/marigoldhoist/components/gateway/stream_delivery.py
+++ b/marigoldhoist/components/gateway/stream_delivery.py
@@ -126,15 +126,15 @@
         progress = self._progress
         if response.is_from_peer:
             return False
+        usable = self._context.directory.usable(progress.service)
         escalation = EscalationContext(
             response.metadata.confidence,
             route.priority,
             route.objective_s - progress.elapsed_s,
-            self._context.picker.mean_load(
-                self._context.directory.usable(progress.service)
-            ),
+            self._context.picker.mean_load(usable),
             route.max_attempts - progress.send_count,
             self._attempts.expected_first_event_s,
+            self._context.picker.mean_delay_s(usable),
         )
         larger = choose_larger_model(route.models, progress.model, escalation)
         if not larger or not self._context.retry_budgets.try_take_optional(
@@ -149,6 +149,7 @@
             confidence=response.metadata.confidence,
             left_s=round(escalation.remaining_s, 3),
             load=round(escalation.load, 3),
+            delay_s=round(escalation.delay_s, 3),
             expected_s=self._attempts.expected_first_event_s(larger),
             asked=progress.model,
             larger=larger,
--- a/marigoldhoist/components/placement/model_escalation.py
+++ b/marigoldhoist/components/placement/model_escalation.py
@@ -28,7 +28,8 @@
     none. `remaining_s` is the rest of the time to the first event that the
     route aims at, `load` the mean requests per slot at the replicas of the
     service. `expected_s` takes a model and returns the expected seconds to its
-    first event, or None if unknown.
+    first event on an idle replica, or None if unknown. `delay_s` is how long
+    the prompts of other requests delay it.
     """
 
     confidence: int | None
@@ -37,6 +38,7 @@
     load: float
     attempts_left: int
     expected_s: Callable[[str], float | None]
+    delay_s: float = 0
 
 
 def first_model(models: Sequence[str]) -> str:
@@ -65,5 +67,5 @@
 def _is_in_time(model: str, context: EscalationContext) -> bool:
     expected_s = context.expected_s(model)
     if expected_s is None:
-        return context.remaining_s > 0
-    return expected_s < MAX_TIME_SHARE * context.remaining_s
+        return context.remaining_s > context.delay_s
+    return expected_s + context.delay_s < MAX_TIME_SHARE * context.remaining_s
--- a/marigoldhoist/components/placement/prefill_times.py
+++ b/marigoldhoist/components/placement/prefill_times.py
@@ -46,7 +46,7 @@
         """Return the expected seconds to the first event, None if unknown."""
         rates = self._rates_by_model.get(model, ())
         if len(rates) < MIN_OBSERVATIONS:
-            return None
+            return BASE_S if tokens < MIN_TOKENS else None
         rate = statistics.quantiles(rates, n=4)[0]
         return BASE_S + max(0, rate) * _prefill_work(tokens)
 
