Keep more answers of the small model while a delay lasts

Hypothesis: each discarded answer puts one more prompt, ten times as much work, before those of other requests. While they are delayed for seconds, answers of medium confidence are worth more where they are than what their discard costs.

Change: the limits of confidence fall by the mean delay over about four seconds, in seconds, by a quarter at most (60, 55, 40 to 45, 41, 30).

--- a/marigoldhoist/components/canary/rejection_writer.py
+++ b/marigoldhoist/components/canary/rejection_writer.py
@@ -65,9 +65,9 @@
             emit(
                 REJECTION_NOT_STORED,
                 reason=str(error),
-                **rejection.log_fields(),
+                **rejection.identity_fields(),
             )
             await asyncio.sleep(STATUS_PAUSE_S)
             return
         self._rejections.note_stored(rejection, end.era)
-        emit(REJECTION_STORED, era=end.era, **rejection.log_fields())
+        emit(REJECTION_STORED, era=end.era, **rejection.identity_fields())
--- a/marigoldhoist/components/canary/rejections.py
+++ b/marigoldhoist/components/canary/rejections.py
@@ -56,7 +56,7 @@
         """Return whether the version gets no requests."""
         return self.standing is Standing.REJECTED
 
-    def log_fields(self) -> dict[str, object]:
+    def identity_fields(self) -> dict[str, object]:
         """Return the fields of log lines that name the rejection."""
         return {
             'service': self.service,
--- a/marigoldhoist/components/canary/status_writer.py
+++ b/marigoldhoist/components/canary/status_writer.py
@@ -159,7 +159,7 @@
         await self._feeds.store.append(Topic.STATUS, records, end)
         for rejection in rejections:
             self._rejections.note_stored(rejection, end.era)
-            emit(REJECTION_STORED, era=end.era, **rejection.log_fields())
+            emit(REJECTION_STORED, era=end.era, **rejection.identity_fields())
 
 
 def desired_state(
--- a/marigoldhoist/components/gateway/replica_picker.py
+++ b/marigoldhoist/components/gateway/replica_picker.py
@@ -9,6 +9,7 @@
 from marigoldhoist.components.directory.models import Replica
 from marigoldhoist.components.gateway.models import Prompt
 from marigoldhoist.components.placement.loads import LoadContext, replica_views
+from marigoldhoist.components.placement.model_escalation import MeanDelays
 from marigoldhoist.components.placement.prefill_times import PrefillTimes
 from marigoldhoist.components.placement.prefixes import PrefixCacheTracker
 from marigoldhoist.components.placement.replicas import (
@@ -105,15 +106,20 @@
         in_flight = sum(view.in_flight for view in views)
         return in_flight / slots if slots else 0
 
-    def mean_delay_s(self, replicas: Sequence[Replica]) -> float:
-        """Return the mean delay by other prompts at the replicas in reach."""
+    def mean_delays(self, replicas: Sequence[Replica]) -> MeanDelays:
+        """Return the delays by other prompts at the replicas in reach."""
         now_s = SYSTEM_CLOCK.boottime_s()
-        delays_s = [
-            replica.backlog.delay_s(now_s)
+        backlogs = [
+            replica.backlog
             for replica in replicas
             if not replica.is_unreachable
         ]
-        return statistics.fmean(delays_s) if delays_s else 0
+        if not backlogs:
+            return MeanDelays()
+        return MeanDelays(
+            statistics.fmean(backlog.delay_s(now_s) for backlog in backlogs),
+            statistics.fmean(backlog.lasting_delay_s for backlog in backlogs),
+        )
 
     def _estimates(
         self, replicas: Sequence[Replica], service_time_s: float
--- a/marigoldhoist/components/gateway/stream_delivery.py
+++ b/marigoldhoist/components/gateway/stream_delivery.py
@@ -134,7 +134,7 @@
             self._context.picker.mean_load(usable),
             route.max_attempts - progress.send_count,
             self._attempts.expected_first_event_s,
-            self._context.picker.mean_delay_s(usable),
+            self._context.picker.mean_delays(usable),
         )
         larger = choose_larger_model(route.models, progress.model, escalation)
         if not larger or not self._context.retry_budgets.try_take_optional(
@@ -149,7 +149,8 @@
             confidence=response.metadata.confidence,
             left_s=round(escalation.remaining_s, 3),
             load=round(escalation.load, 3),
-            delay_s=round(escalation.delay_s, 3),
+            delay_s=round(escalation.delays.present_s, 3),
+            lasting_delay_s=round(escalation.delays.lasting_s, 3),
             expected_s=self._attempts.expected_first_event_s(larger),
             asked=progress.model,
             larger=larger,
--- a/marigoldhoist/components/placement/model_escalation.py
+++ b/marigoldhoist/components/placement/model_escalation.py
@@ -13,6 +13,10 @@
 # the priority of the route: urgent requests, which have the lowest numbers,
 # justify more time of a large model.
 MIN_CONFIDENCE_BY_PRIORITY: Final = (60, 55, 40)
+# A lasting delay lowers these limits in proportion: by this share at most, and
+# by the whole of it at `MAX_REDUCTION * FULL_DELAY_S` seconds.
+MAX_REDUCTION: Final = 0.25
+FULL_DELAY_S: Final = 1.0
 # A request is escalated to a larger model only if the expected time to its
 # first event is below this share of the time that remains.
 MAX_TIME_SHARE: Final = 0.9
@@ -20,6 +24,17 @@
 MAX_LOAD: Final = 0.9
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MeanDelays:
+    """How long other prompts delay a request at the replicas, in seconds.
+
+    `present_s` is the delay now, `lasting_s` its mean over several seconds.
+    """
+
+    present_s: float = 0
+    lasting_s: float = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EscalationContext:
     """The inputs of the decision whether to discard an answer.
@@ -28,8 +43,7 @@
     none. `remaining_s` is the rest of the time to the first event that the
     route aims at, `load` the mean requests per slot at the replicas of the
     service. `expected_s` takes a model and returns the expected seconds to its
-    first event on an idle replica, or None if unknown. `delay_s` is how long
-    the prompts of other requests delay it.
+    first event on an idle replica, or None if unknown.
     """
 
     confidence: int | None
@@ -38,7 +52,7 @@
     load: float
     attempts_left: int
     expected_s: Callable[[str], float | None]
-    delay_s: float = 0
+    delays: MeanDelays = MeanDelays()
 
 
 def first_model(models: Sequence[str]) -> str:
@@ -54,8 +68,7 @@
         return ''
     if context.attempts_left < 1 or context.load > MAX_LOAD:
         return ''
-    rank = min(max(0, context.priority), len(MIN_CONFIDENCE_BY_PRIORITY) - 1)
-    if context.confidence >= MIN_CONFIDENCE_BY_PRIORITY[rank]:
+    if context.confidence >= _min_confidence(context):
         return ''
     larger = models[models.index(current) + 1 :]
     return next(
@@ -64,8 +77,20 @@
     )
 
 
+def _min_confidence(context: EscalationContext) -> float:
+    """Return the confidence below which an answer is discarded.
+
+    Each discarded answer is one more prompt before those of other requests, so
+    it has to be worth more while they are delayed for a longer time.
+    """
+    rank = min(max(0, context.priority), len(MIN_CONFIDENCE_BY_PRIORITY) - 1)
+    reduction = min(MAX_REDUCTION, context.delays.lasting_s / FULL_DELAY_S)
+    return MIN_CONFIDENCE_BY_PRIORITY[rank] * (1 - reduction)
+
+
 def _is_in_time(model: str, context: EscalationContext) -> bool:
     expected_s = context.expected_s(model)
+    delay_s = context.delays.present_s
     if expected_s is None:
-        return context.remaining_s > context.delay_s
-    return expected_s + context.delay_s < MAX_TIME_SHARE * context.remaining_s
+        return context.remaining_s > delay_s
+    return expected_s + delay_s < MAX_TIME_SHARE * context.remaining_s
--- a/marigoldhoist/components/placement/prefill_backlog.py
+++ b/marigoldhoist/components/placement/prefill_backlog.py
@@ -17,6 +17,12 @@
 MAX_PAST_WEIGHT: Final = 0.75
 # Time constant by which an observed delay loses its weight.
 FADE_TIME_S: Final = 1.0
+# Time constant of the mean that shows a lasting delay.
+LASTING_TIME_S: Final = 4.0
+# Time for which an observed delay counts in that mean: the time since the last
+# one, within these bounds.
+MIN_GAP_S: Final = 0.02
+MAX_GAP_S: Final = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -31,12 +37,16 @@
 
 
 class PrefillBacklog:
-    """This daemon's view of the prompts that wait at one replica."""
+    """This daemon's view of the prompts that wait at one replica.
+
+    `lasting_delay_s` is the mean delay over several seconds.
+    """
 
     def __init__(self) -> None:
         self._pending: set[PendingPrefill] = set()
         self._delay_s: float = 0
         self._observed_s = -math.inf
+        self.lasting_delay_s: float = 0
 
     @property
     def pending_s(self) -> float:
@@ -56,6 +66,7 @@
         weight = min(weight, MAX_PAST_WEIGHT)
         observed_s = max(0, now_s - prefill.sent_s - prefill.expected_s)
         self._delay_s = self._delay_s * weight + observed_s * (1 - weight)
+        self._update_lasting(observed_s, now_s - self._observed_s)
         self._observed_s = now_s
 
     def drop(self, prefill: PendingPrefill) -> None:
@@ -70,3 +81,9 @@
             for prefill in self._pending
         )
         return max(self._delay_s * fading, *overdue_s, 0)
+
+    def _update_lasting(self, observed_s: float, gap_s: float) -> None:
+        gap_s = min(MAX_GAP_S, max(MIN_GAP_S, gap_s))
+        weight = math.exp(-gap_s / LASTING_TIME_S)
+        self.lasting_delay_s *= weight
+        self.lasting_delay_s += observed_s * (1 - weight)
--- a/tests/components/placement/cascade_load.py
+++ b/tests/components/placement/cascade_load.py
@@ -9,11 +9,13 @@
 import heapq
 import itertools
 import random
+import statistics
 from collections.abc import Iterator
 from typing import Final
 
 from marigoldhoist.components.placement.model_escalation import (
     EscalationContext,
+    MeanDelays,
     choose_larger_model,
 )
 from marigoldhoist.components.placement.prefill_backlog import (
@@ -152,9 +154,6 @@
         self, request: Request, elapsed_s: float, now_s: float
     ) -> EscalationContext:
         is_weak = request.is_hard and request.model == MODELS[0]
-        delays_s = [
-            replica.backlog.delay_s(now_s) for replica in self._replicas
-        ]
         return EscalationContext(
             LOW_CONFIDENCE if is_weak else HIGH_CONFIDENCE,
             0,
@@ -162,5 +161,12 @@
             0,
             1,
             lambda model: self._times.expected_s(model, request.tokens),
-            sum(delays_s) / len(delays_s) if self._sees_delay else 0,
+            self._delays(now_s) if self._sees_delay else MeanDelays(),
+        )
+
+    def _delays(self, now_s: float) -> MeanDelays:
+        backlogs = [replica.backlog for replica in self._replicas]
+        return MeanDelays(
+            statistics.fmean(backlog.delay_s(now_s) for backlog in backlogs),
+            statistics.fmean(backlog.lasting_delay_s for backlog in backlogs),
         )
--- a/tests/components/placement/test_model_escalation.py
+++ b/tests/components/placement/test_model_escalation.py
@@ -1,5 +1,6 @@
 """Tests of model escalation and of the prefill time estimate."""
 
+import dataclasses
 import random
 
 import pytest
@@ -7,6 +8,7 @@
 from marigoldhoist.components.placement.model_escalation import (
     MAX_LOAD,
     EscalationContext,
+    MeanDelays,
     choose_larger_model,
     first_model,
 )
@@ -33,6 +35,39 @@
     )
 
 
+class TestDelays:
+    """Other prompts delay the answer of the larger model."""
+
+    @pytest.mark.parametrize(
+        ('present_s', 'chosen'), ((0, 'large'), (0.5, 'middle'), (1.5, ''))
+    )
+    def test_largest_model_that_is_in_time_in_spite_of_them(
+        self, present_s: float, chosen: str
+    ) -> None:
+        context = dataclasses.replace(
+            escalation(), delays=MeanDelays(present_s)
+        )
+        assert choose_larger_model(MODELS, 'small', context) == chosen
+
+    @pytest.mark.parametrize(
+        ('lasting_s', 'chosen'),
+        ((0, 'large'), (0.05, 'large'), (0.2, ''), (100, '')),
+    )
+    def test_lasting_delay_keeps_answers_of_medium_confidence(
+        self, lasting_s: float, chosen: str
+    ) -> None:
+        context = dataclasses.replace(
+            escalation(confidence=50), delays=MeanDelays(0, lasting_s)
+        )
+        assert choose_larger_model(MODELS, 'small', context) == chosen
+
+    def test_answer_of_low_confidence_is_discarded_all_the_same(self) -> None:
+        context = dataclasses.replace(
+            escalation(confidence=40), delays=MeanDelays(0, 100)
+        )
+        assert choose_larger_model(MODELS, 'small', context) == 'large'
+
+
 class TestChooseLargerModel:
     """Low-confidence answers are discarded for a larger model."""
 
--- a/tests/components/placement/test_prefill_backlog.py
+++ b/tests/components/placement/test_prefill_backlog.py
@@ -54,6 +54,23 @@
         assert backlog.delay_s(12) == 0
 
 
+class TestLastingDelay:
+    """A delay that goes on counts, a short one hardly does."""
+
+    def test_single_late_response_hardly_counts(self) -> None:
+        backlog = PrefillBacklog()
+        for number in range(40):
+            answered(backlog, number / 10, number / 10 + EXPECTED_S)
+        answered(backlog, 4, 5)
+        assert 0 < backlog.lasting_delay_s < 0.25 * (1 - EXPECTED_S)
+
+    def test_delay_that_goes_on_counts_in_full(self) -> None:
+        backlog = PrefillBacklog()
+        for number in range(200):
+            answered(backlog, number / 10, number / 10 + 1)
+        assert backlog.lasting_delay_s > 0.9 * (1 - EXPECTED_S)
+
+
 class TestPending:
     """The prefill of own requests counts until their responses begin."""
 
--- a/tests/test_log_lines.py
+++ b/tests/test_log_lines.py
@@ -31,12 +31,14 @@
     'NOT_SENT_AGAIN': REQUEST | {'reason', 'sends', 'left_s', 'budget_left'},
     'STREAM_RESUMED': REQUEST | {'replica', 'after_event'},
     'MODEL_RAISED': REQUEST
-    | {'asked', 'larger', 'confidence', 'load', 'expected_s', 'left_s'},
+    | {'asked', 'larger', 'confidence', 'load', 'expected_s', 'left_s'}
+    | {'delay_s', 'lasting_delay_s'},
     'CALL_HANDED_OVER': REQUEST
     | {'peer', 'failure_domain', 'service', 'sends', 'left_s', 'after_event'},
     'CALL_TAKEN_OVER': REQUEST | {'from_host', 'sends', 'model', 'left_s'},
     'ANSWER_PASSED_OVER': {'request_id', 'came_for'},
     'CALLER_MALFORMED': {'reason'},
+    'CALL_HANDLER_FAILED': {'error'},
     'GATEWAY_LISTENING': {'callers'},
     'STOP_BEGUN': {'open', 'serving'},
     'STOP_ENDED': {'cut'},
@@ -72,6 +74,7 @@
     'PEER_FAILED': {'peer', 'reason', 'heard_age_s'},
     'READER_CHANGED': {'is_reader', 'members'},
     'READER_RELAYS': {'peer', 'heard_age_s'},
+    'LOAD_REPORT_IGNORED': {'load'},
     'REPLICA_FOUND': {'replica', 'service', 'version', 'failure_domain'},
     'REPLICA_LIMITED': {'replica', 'service', 'limit_per_s', 'before'}
     | {'known_for_s', 'daemons'},
