Let a lasting delay fade while no response renews it

Cause: read in the code: the mean over seconds changed only with a new response, so a replica that is seldom asked, as on large fleets, kept an old delay, and with it the lowered limits of confidence.

--- a/marigoldhoist/components/gateway/replica_picker.py
+++ b/marigoldhoist/components/gateway/replica_picker.py
@@ -118,7 +118,9 @@
             return MeanDelays()
         return MeanDelays(
             statistics.fmean(backlog.delay_s(now_s) for backlog in backlogs),
-            statistics.fmean(backlog.lasting_delay_s for backlog in backlogs),
+            statistics.fmean(
+                backlog.lasting_delay_s(now_s) for backlog in backlogs
+            ),
         )
 
     def _estimates(
--- a/marigoldhoist/components/placement/model_escalation.py
+++ b/marigoldhoist/components/placement/model_escalation.py
@@ -13,10 +13,10 @@
 # the priority of the route: urgent requests, which have the lowest numbers,
 # justify more time of a large model.
 MIN_CONFIDENCE_BY_PRIORITY: Final = (60, 55, 40)
-# A lasting delay lowers these limits in proportion: by this share at most, and
-# by the whole of it at `MAX_REDUCTION * FULL_DELAY_S` seconds.
+# Share by which a lasting delay of a second lowers these limits, in proportion,
+# and the largest share by which any delay does.
+REDUCTION_PER_S: Final = 1.0
 MAX_REDUCTION: Final = 0.25
-FULL_DELAY_S: Final = 1.0
 # A request is escalated to a larger model only if the expected time to its
 # first event is below this share of the time that remains.
 MAX_TIME_SHARE: Final = 0.9
@@ -84,7 +84,7 @@
     it has to be worth more while they are delayed for a longer time.
     """
     rank = min(max(0, context.priority), len(MIN_CONFIDENCE_BY_PRIORITY) - 1)
-    reduction = min(MAX_REDUCTION, context.delays.lasting_s / FULL_DELAY_S)
+    reduction = min(MAX_REDUCTION, REDUCTION_PER_S * context.delays.lasting_s)
     return MIN_CONFIDENCE_BY_PRIORITY[rank] * (1 - reduction)
 
 
--- a/marigoldhoist/components/placement/prefill_backlog.py
+++ b/marigoldhoist/components/placement/prefill_backlog.py
@@ -37,16 +37,13 @@
 
 
 class PrefillBacklog:
-    """This daemon's view of the prompts that wait at one replica.
-
-    `lasting_delay_s` is the mean delay over several seconds.
-    """
+    """This daemon's view of the prompts that wait at one replica."""
 
     def __init__(self) -> None:
         self._pending: set[PendingPrefill] = set()
         self._delay_s: float = 0
         self._observed_s = -math.inf
-        self.lasting_delay_s: float = 0
+        self._lasting_delay_s: float = 0
 
     @property
     def pending_s(self) -> float:
@@ -82,8 +79,16 @@
         )
         return max(self._delay_s * fading, *overdue_s, 0)
 
+    def lasting_delay_s(self, now_s: float) -> float:
+        """Return the mean delay of the last seconds, in seconds.
+
+        It fades as well while no response begins that could renew it.
+        """
+        fading = math.exp((self._observed_s - now_s) / LASTING_TIME_S)
+        return self._lasting_delay_s * fading
+
     def _update_lasting(self, observed_s: float, gap_s: float) -> None:
         gap_s = min(MAX_GAP_S, max(MIN_GAP_S, gap_s))
         weight = math.exp(-gap_s / LASTING_TIME_S)
-        self.lasting_delay_s *= weight
-        self.lasting_delay_s += observed_s * (1 - weight)
+        self._lasting_delay_s *= weight
+        self._lasting_delay_s += observed_s * (1 - weight)
--- a/tests/components/placement/cascade_load.py
+++ b/tests/components/placement/cascade_load.py
@@ -168,5 +168,7 @@
         backlogs = [replica.backlog for replica in self._replicas]
         return MeanDelays(
             statistics.fmean(backlog.delay_s(now_s) for backlog in backlogs),
-            statistics.fmean(backlog.lasting_delay_s for backlog in backlogs),
+            statistics.fmean(
+                backlog.lasting_delay_s(now_s) for backlog in backlogs
+            ),
         )
--- a/tests/components/placement/test_prefill_backlog.py
+++ b/tests/components/placement/test_prefill_backlog.py
@@ -4,6 +4,7 @@
 
 from marigoldhoist.components.placement.prefill_backlog import (
     FADE_TIME_S,
+    LASTING_TIME_S,
     PrefillBacklog,
 )
 
@@ -62,13 +63,19 @@
         for number in range(40):
             answered(backlog, number / 10, number / 10 + EXPECTED_S)
         answered(backlog, 4, 5)
-        assert 0 < backlog.lasting_delay_s < 0.25 * (1 - EXPECTED_S)
+        assert 0 < backlog.lasting_delay_s(5) < 0.25 * (1 - EXPECTED_S)
 
     def test_delay_that_goes_on_counts_in_full(self) -> None:
         backlog = PrefillBacklog()
         for number in range(200):
             answered(backlog, number / 10, number / 10 + 1)
-        assert backlog.lasting_delay_s > 0.9 * (1 - EXPECTED_S)
+        now_s = 199 / 10 + 1
+        assert backlog.lasting_delay_s(now_s) > 0.9 * (1 - EXPECTED_S)
+
+    def test_delay_fades_without_new_responses(self) -> None:
+        backlog = PrefillBacklog()
+        answered(backlog, 10, 11)
+        assert backlog.lasting_delay_s(11 + 5 * LASTING_TIME_S) < 0.01
 
 
 class TestPending:
--- a/tests/test_log_lines.py
+++ b/tests/test_log_lines.py
@@ -74,7 +74,6 @@
     'PEER_FAILED': {'peer', 'reason', 'heard_age_s'},
     'READER_CHANGED': {'is_reader', 'members'},
     'READER_RELAYS': {'peer', 'heard_age_s'},
-    'LOAD_REPORT_IGNORED': {'load'},
     'REPLICA_FOUND': {'replica', 'service', 'version', 'failure_domain'},
     'REPLICA_LIMITED': {'replica', 'service', 'limit_per_s', 'before'}
     | {'known_for_s', 'daemons'},
