Take the rejection as known only once it is stored

Cause: read in the diff: the commit that stores a rejection with its roll-back recorded it before the append. Had the append failed, another task could have stored the rejection alone, ahead of a state that another daemon may decide otherwise.

Change: the rejection is built for the append and taken over, as one that is read from the store, after it.

Conclusion: simpler, and no daemon acts on a rejection that was not stored.

--- a/marigoldhoist/components/canary/rejections.py
+++ b/marigoldhoist/components/canary/rejections.py
@@ -159,17 +159,6 @@
             if not entry.is_stored_in(era)
         ]
 
-    def unstored_of(
-        self, order: RollOutOrder, era: int | None
-    ) -> list[Rejection]:
-        """Return the rejection of an order's target if it is not stored."""
-        return [
-            rejection
-            for rejection in self.unstored(era)
-            if (rejection.service, rejection.version)
-            == (order.service, order.target)
-        ]
-
     def _put(self, rejection: Rejection, source: str) -> None:
         key = (rejection.service, rejection.version)
         known = self._entry_by_key.get(key)
--- a/marigoldhoist/components/canary/status_writer.py
+++ b/marigoldhoist/components/canary/status_writer.py
@@ -147,19 +147,15 @@
         The next order may follow the roll-back at once, and a daemon that
         starts then learns of the rejection from its record alone.
         """
-        rejections: list[Rejection] = []
-        if status.state is RollOutState.ROLLED_BACK:
-            self._rejections.reject(order)
-            rejections += self._rejections.unstored_of(order, end.era)
-        records = [
-            NewRecord(*self._codec.encode_rejection(rejection))
-            for rejection in rejections
-        ]
-        records.append(NewRecord(*self._codec.encode_status(status)))
+        records = [NewRecord(*self._codec.encode_status(status))]
+        if status.state is not RollOutState.ROLLED_BACK:
+            await self._feeds.store.append(Topic.STATUS, records, end)
+            return
+        rejection = Rejection(order.service, order.target, order.mark)
+        records.insert(0, NewRecord(*self._codec.encode_rejection(rejection)))
         await self._feeds.store.append(Topic.STATUS, records, end)
-        for rejection in rejections:
-            self._rejections.note_stored(rejection, end.era)
-            emit(REJECTION_STORED, era=end.era, **rejection.identity_fields())
+        self._rejections.read(rejection, end.era)
+        emit(REJECTION_STORED, era=end.era, **rejection.identity_fields())
 
 
 def desired_state(
