--- a/tests/platform/test_rejected_versions.py
+++ b/tests/platform/test_rejected_versions.py
@@ -63,6 +63,16 @@
     return harness.run_count(REJECTED) - before
 
 
+async def calls_of_later_daemon(harness: GatewayHarness) -> int:
+    """Start another daemon now; count what the rejected version gets of it."""
+    later = GatewayHarness('d2')
+    await later.join(harness)
+    try:
+        return await calls_to_rejected(harness, later)
+    finally:
+        later.kernel.stop()
+
+
 def _has_old(directory: DirectoryService) -> bool:
     return 'v1' in directory.versions('plain')
 
@@ -131,12 +141,7 @@
                 await harness.add_replica('p4', 'plain', version='v3')
                 next_order = {**ORDER, 'target': 'v3', 'over_s': 60}
                 await harness.store.put(OPERATOR_TOPIC, ORDER_KEY, next_order)
-                later = GatewayHarness('d2')
-                await later.join(harness)
-                try:
-                    return await calls_to_rejected(harness, later)
-                finally:
-                    later.kernel.stop()
+                return await calls_of_later_daemon(harness)
 
         assert asyncio.run(scenario()) == 0
 
@@ -147,12 +152,7 @@
     def test_rejected_version_gets_no_calls(self) -> None:
         async def scenario() -> int:
             async with rejected_then_ordered() as harness:
-                later = GatewayHarness('d2')
-                await later.join(harness)
-                try:
-                    return await calls_to_rejected(harness, later)
-                finally:
-                    later.kernel.stop()
+                return await calls_of_later_daemon(harness)
 
         assert asyncio.run(scenario()) == 0
 
@@ -162,11 +162,6 @@
         async def scenario() -> int:
             async with rejected_then_ordered() as harness:
                 harness.kernel.stop()
-                later = GatewayHarness('d2')
-                await later.join(harness)
-                try:
-                    return await calls_to_rejected(harness, later)
-                finally:
-                    later.kernel.stop()
+                return await calls_of_later_daemon(harness)
 
         assert asyncio.run(scenario()) == 0
