Average the delays at replicas in one place

Cause: the load that tests play had its own copy of the mean that the replica picker takes, so the test did not cover the product's.

Change: mean_delays in placement/prefill_backlog.py serves both. Behaviour is unchanged.

--- a/marigoldhoist/components/gateway/replica_picker.py
+++ b/marigoldhoist/components/gateway/replica_picker.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import random
-import statistics
 from collections.abc import Container, Sequence
 from typing import Final
 
@@ -10,6 +9,7 @@
 from marigoldhoist.components.gateway.models import Prompt
 from marigoldhoist.components.placement.loads import LoadContext, replica_views
 from marigoldhoist.components.placement.model_escalation import MeanDelays
+from marigoldhoist.components.placement.prefill_backlog import mean_delays
 from marigoldhoist.components.placement.prefill_times import PrefillTimes
 from marigoldhoist.components.placement.prefixes import PrefixCacheTracker
 from marigoldhoist.components.placement.replicas import (
@@ -108,20 +108,12 @@
 
     def mean_delays(self, replicas: Sequence[Replica]) -> MeanDelays:
         """Return the delays by other prompts at the replicas in reach."""
-        now_s = SYSTEM_CLOCK.boottime_s()
         backlogs = [
             replica.backlog
             for replica in replicas
             if not replica.is_unreachable
         ]
-        if not backlogs:
-            return MeanDelays()
-        return MeanDelays(
-            statistics.fmean(backlog.delay_s(now_s) for backlog in backlogs),
-            statistics.fmean(
-                backlog.lasting_delay_s(now_s) for backlog in backlogs
-            ),
-        )
+        return mean_delays(backlogs, SYSTEM_CLOCK.boottime_s())
 
     def _estimates(
         self, replicas: Sequence[Replica], service_time_s: float
--- a/marigoldhoist/components/placement/prefill_backlog.py
+++ b/marigoldhoist/components/placement/prefill_backlog.py
@@ -8,8 +8,12 @@
 
 import dataclasses
 import math
+import statistics
+from collections.abc import Sequence
 from typing import Final
 
+from marigoldhoist.components.placement.model_escalation import MeanDelays
+
 # Time constant of the mean of observed delays.
 SMOOTHING_TIME_S: Final = 0.3
 # Largest weight of the mean so far when a delay is observed. Heads that arrive
@@ -92,3 +96,15 @@
         weight = math.exp(-gap_s / LASTING_TIME_S)
         self._lasting_delay_s *= weight
         self._lasting_delay_s += observed_s * (1 - weight)
+
+
+def mean_delays(backlogs: Sequence[PrefillBacklog], now_s: float) -> MeanDelays:
+    """Return the mean delays at several replicas, none without any."""
+    if not backlogs:
+        return MeanDelays()
+    return MeanDelays(
+        statistics.fmean(backlog.delay_s(now_s) for backlog in backlogs),
+        statistics.fmean(
+            backlog.lasting_delay_s(now_s) for backlog in backlogs
+        ),
+    )
--- a/tests/components/placement/cascade_load.py
+++ b/tests/components/placement/cascade_load.py
@@ -9,7 +9,6 @@
 import heapq
 import itertools
 import random
-import statistics
 from collections.abc import Iterator
 from typing import Final
 
@@ -21,6 +20,7 @@
 from marigoldhoist.components.placement.prefill_backlog import (
     PendingPrefill,
     PrefillBacklog,
+    mean_delays,
 )
 from marigoldhoist.components.placement.prefill_times import PrefillTimes
 
@@ -166,9 +166,4 @@
 
     def _delays(self, now_s: float) -> MeanDelays:
         backlogs = [replica.backlog for replica in self._replicas]
-        return MeanDelays(
-            statistics.fmean(backlog.delay_s(now_s) for backlog in backlogs),
-            statistics.fmean(
-                backlog.lasting_delay_s(now_s) for backlog in backlogs
-            ),
-        )
+        return mean_delays(backlogs, now_s)
