Log how many answers of a roll-out were compared, and log a held one every 5 s

The log lines of a held or cleared roll-out could not tell a version whose answers were not compared from one that was compared and not found slow. They now have the compared and slow answers of both versions and the recent answers of the old one.

Decisions are unchanged.

--- a/marigoldhoist/components/canary/clearance.py
+++ b/marigoldhoist/components/canary/clearance.py
@@ -52,21 +52,32 @@
 TO_COMPLETE: Final = Clearance(service=0.02, route=0.02, log_slowness=0)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LatencyCounts:
+    """Compared and slow answers of the new version and of its baseline."""
+
+    compared: int
+    slow: int
+    baseline_compared: int
+    baseline_slow: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Assessment:
     """Log likelihood ratios of a fault, by what was compared.
 
-    `answers` are the recent answers of the new version, `slow_answers` its slow
-    ones. `failures_by_route` has no routes with few answers; `failures` and
-    `slowness` are the ratios of all answers.
+    `answers` are the recent answers of the new version. `failures_by_route` has
+    no routes with few answers; `failures` and `slowness` are the ratios of all
+    answers. `latencies` are the answers whose latencies were compared.
     """
 
     answers: int
     baseline_answers: int
+    recent_baseline_answers: int
     failures: float
     failures_by_route: dict[str, float]
     slowness: float
-    slow_answers: int
+    latencies: LatencyCounts
 
     @property
     def is_idle(self) -> bool:
@@ -79,7 +90,7 @@
             return True
         route_limit = math.log(clearance.route)
         # Without slow answers there may have been few to compare.
-        is_slow = self.slow_answers and self.slowness > clearance.log_slowness
+        is_slow = self.latencies.slow and self.slowness > clearance.log_slowness
         return (
             not is_slow
             and self.failures <= math.log(clearance.service)
@@ -94,12 +105,17 @@
         return {
             'answers': self.answers,
             'baseline_answers': self.baseline_answers,
+            'recent_baseline_answers': self.recent_baseline_answers,
             'failure_ratio': round(self.failures, 2),
             'failure_ratio_by_route': {
                 route: round(ratio, 2)
                 for route, ratio in self.failures_by_route.items()
             },
             'slow_ratio': round(self.slowness, 2),
+            'compared': self.latencies.compared,
+            'slow': self.latencies.slow,
+            'baseline_compared': self.latencies.baseline_compared,
+            'baseline_slow': self.latencies.baseline_slow,
         }
 
 
@@ -116,6 +132,9 @@
     return Assessment(
         answers=sum(counts.recent.answers for counts in starts),
         baseline_answers=sum(counts.baseline_answers for counts in starts),
+        recent_baseline_answers=sum(
+            counts.recent.baseline_answers for counts in starts
+        ),
         failures=sum(
             outcomes.log_likelihood_ratio
             for outcomes in outcomes_by_route.values()
@@ -129,7 +148,16 @@
             (outcomes.log_likelihood_ratio for outcomes in slow_outcomes),
             default=0,
         ),
-        slow_answers=sum(outcomes.bad for outcomes in slow_outcomes),
+        latencies=LatencyCounts(
+            compared=sum(outcomes.total for outcomes in slow_outcomes),
+            slow=sum(outcomes.bad for outcomes in slow_outcomes),
+            baseline_compared=sum(
+                outcomes.baseline_total for outcomes in slow_outcomes
+            ),
+            baseline_slow=sum(
+                outcomes.baseline_bad for outcomes in slow_outcomes
+            ),
+        ),
     )
 
 
--- a/marigoldhoist/components/canary/gate.py
+++ b/marigoldhoist/components/canary/gate.py
@@ -1,5 +1,6 @@
 """Let roll-outs go on once the evidence clears the target version."""
 
+import dataclasses
 from typing import Final
 
 from marigoldhoist.components.canary.analysis import CanaryAnalysis
@@ -17,6 +18,16 @@
 # Share of the allowed time before the ramp from which a version may be cleared,
 # so that the daemons have exchanged the clearance when the ramp starts.
 CLEARANCE_LEAD: Final = 0.05
+# While a roll-out is held, its evidence is logged once in this time.
+HELD_LOG_INTERVAL_S: Final = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Logged:
+    """The last event that was logged of an order; the time is boot time."""
+
+    event: LogEvent
+    logged_s: float
 
 
 class RollOutGate:
@@ -35,7 +46,7 @@
         self._analysis = analysis
         self._schedule = schedule
         self._clock = clock
-        self._logged_by_subject: dict[str, LogEvent] = {}
+        self._logged_by_subject: dict[str, _Logged] = {}
 
     def update_ramp(self, roll_out: RollOut) -> None:
         """Clear the target for the ramp once the evidence allows it."""
@@ -51,7 +62,7 @@
                 **self._roll_out_fields(roll_out),
                 **assessment.log_fields(),
             )
-        elif lead <= 0 and self._is_first(RAMP_UP_HELD, roll_out):
+        elif lead <= 0 and self._is_due(RAMP_UP_HELD, roll_out):
             emit(
                 RAMP_UP_HELD,
                 **self._roll_out_fields(roll_out),
@@ -63,7 +74,7 @@
         assessment = self._analysis.assess(roll_out.order.service)
         if assessment.allows(TO_COMPLETE):
             return True
-        if self._is_first(COMPLETION_HELD, roll_out):
+        if self._is_due(COMPLETION_HELD, roll_out):
             emit(
                 COMPLETION_HELD,
                 **self._roll_out_fields(roll_out),
@@ -71,12 +82,19 @@
             )
         return False
 
-    def _is_first(self, event: LogEvent, roll_out: RollOut) -> bool:
-        """Return whether an event is not the last one logged for an order."""
+    def _is_due(self, event: LogEvent, roll_out: RollOut) -> bool:
+        """Return whether to log an event of an order, now or again."""
         subject = roll_out.order.subject
-        is_first = self._logged_by_subject.get(subject) is not event
-        self._logged_by_subject[subject] = event
-        return is_first
+        now_s = self._clock.boottime_s()
+        last = self._logged_by_subject.get(subject)
+        if (
+            last is not None
+            and last.event is event
+            and now_s - last.logged_s < HELD_LOG_INTERVAL_S
+        ):
+            return False
+        self._logged_by_subject[subject] = _Logged(event, now_s)
+        return True
 
     def _roll_out_fields(self, roll_out: RollOut) -> dict[str, object]:
         return {
--- a/tests/test_log_lines.py
+++ b/tests/test_log_lines.py
@@ -10,6 +10,16 @@
 from tests.log_lines import LogLine, log_lines
 
 REQUEST: Final = frozenset(('request_id', 'route', 'elapsed_s'))
+EVIDENCE: Final = frozenset(
+    ('answers', 'baseline_answers', 'recent_baseline_answers')
+) | {
+    'failure_ratio',
+    'slow_ratio',
+    'compared',
+    'slow',
+    'baseline_compared',
+    'baseline_slow',
+}
 # Required fields of each event: its subject, the inputs of the decision and
 # their age.
 FIELDS_BY_EVENT: Final = {
@@ -57,11 +67,10 @@
     'STATUS_LOST': {'service', 'target', 'state', 'expected_end'}
     | {'era', 'stored_era'},
     'STATUS_CONFLICT': {'service', 'target', 'state', 'stored', 'era'},
-    'STATUS_WRITTEN': {'service', 'target', 'state', 'expected_end'}
-    | {'answers', 'baseline_answers', 'failure_ratio', 'slow_ratio'},
-    'RAMP_UP_CLEARED': {'service', 'target', 'progress'},
-    'RAMP_UP_HELD': {'service', 'target', 'progress'},
-    'COMPLETION_HELD': {'service', 'target', 'progress'},
+    'STATUS_WRITTEN': {'service', 'target', 'state', 'expected_end'} | EVIDENCE,
+    'RAMP_UP_CLEARED': {'service', 'target', 'progress'} | EVIDENCE,
+    'RAMP_UP_HELD': {'service', 'target', 'progress'} | EVIDENCE,
+    'COMPLETION_HELD': {'service', 'target', 'progress'} | EVIDENCE,
     'STATUS_NOT_WRITTEN': {'service', 'target', 'state', 'expected_end'}
     | {'reason'},
     'STORE_LOST': {'topic', 'reason', 'age_s'},
