Find a slow version by the likelihood of its slow answers

Cause: a version was slow only if more than half of all compared answers, or 0.8 of one group's, were slow. A version of which half of the answers take eight times longer has about 0.44 slow ones, so it was never found by many answers, only by few that happened to be slow. The rule that clears a version uses the likelihood ratio, so the same evidence held the completion for good.

Change: slow answers are judged like failures, by the ratio of a fault in half of the answers to none, above ln 200; the limits by share stay as lower bounds (0.25 for the start, 0.35 for the pace, three times the baseline's share).

--- a/marigoldhoist/components/canary/evidence.py
+++ b/marigoldhoist/components/canary/evidence.py
@@ -4,7 +4,6 @@
 several daemons are pooled before the rules are applied.
 """
 
-import dataclasses
 import enum
 import math
 from collections.abc import Iterable, Mapping
@@ -39,19 +38,10 @@
     PACE = 'pace'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SlowRule:
-    """Minimum number and share of slow answers of a slow version."""
-
-    min_slow_answers: int
-    min_slow_share: float
-
-
-# The time to the start of an answer varies with the replica's load, so it needs
-# a larger share of slow answers than the pace.
-SLOW_RULE_BY_MEASURE: Final[Mapping[Measure, SlowRule]] = {
-    Measure.START: SlowRule(min_slow_answers=3, min_slow_share=0.5),
-    Measure.PACE: SlowRule(min_slow_answers=3, min_slow_share=0.35),
+# Minimum share of slow answers of a slow version.
+MIN_SLOW_SHARE_BY_MEASURE: Final[Mapping[Measure, float]] = {
+    Measure.START: 0.25,
+    Measure.PACE: 0.35,
 }
 
 
@@ -135,8 +125,8 @@
         baseline_share = (PRIOR_SLOW_ANSWERS + self.baseline_slow) / (
             PRIOR_ANSWERS + self.baseline_compared
         )
-        rule = SLOW_RULE_BY_MEASURE[self.group.measure]
-        return max(rule.min_slow_share, SLOW_SHARE_FACTOR * baseline_share)
+        min_share = MIN_SLOW_SHARE_BY_MEASURE[self.group.measure]
+        return max(min_share, SLOW_SHARE_FACTOR * baseline_share)
 
 
 Evidence: TypeAlias = list[GroupCounts]
--- a/marigoldhoist/components/canary/regression.py
+++ b/marigoldhoist/components/canary/regression.py
@@ -1,17 +1,18 @@
 """Rules that find a regression of a new version in the evidence.
 
-A version fails more often than its baseline if the likelihood ratio of a fault
-is above a limit, for all answers or for those of one route. Each route has its
-own baseline, as one route may fail more often by nature than another.
+A version fails more often or is slower than its baseline if the likelihood
+ratio of a fault is above a limit, for all answers or for those of one route.
+Each route has its own baseline, as one route may fail more often by nature than
+another.
 """
 
+import math
 from collections.abc import Callable, Iterator
 from typing import Final
 
 import msgspec
 
 from marigoldhoist.components.canary.evidence import (
-    SLOW_RULE_BY_MEASURE,
     Evidence,
     GroupCounts,
     Measure,
@@ -22,6 +23,7 @@
     all_failures,
     failures_by_route,
     recent_failures,
+    slow_answers,
 )
 
 # Log likelihood ratios of a fault above which a version is bad, so that fewer
@@ -30,10 +32,11 @@
 # is higher.
 MIN_LOG_RATIO: Final = 6.0
 MIN_RECENT_LOG_RATIO: Final = 10.5
-# A single sample group proves a version slow by itself if it has at least this
-# many slow answers, and if they are at least this share of its comparisons.
+MIN_SLOW_LOG_RATIO: Final = math.log(200)
+# Minimum number of slow answers of a slow version, in all groups together
+# or in a single one.
+MIN_SLOW: Final = 3
 MIN_SLOW_IN_GROUP: Final = 5
-MIN_SLOW_SHARE_IN_GROUP: Final = 0.8
 
 
 def regression_reason(evidence: Evidence) -> str:
@@ -47,10 +50,12 @@
     ]
     yield from _failure_reasons(starts, all_failures, MIN_LOG_RATIO)
     yield from _failure_reasons(starts, recent_failures, MIN_RECENT_LOG_RATIO)
-    for counts in filter(_is_slow, _by_measure(evidence)):
-        yield _slow_text(counts)
-    for counts in filter(_is_slow_group, evidence):
-        yield f'{_slow_text(counts)} on {counts.group.request_class}'
+    for counts in evidence:
+        if _is_slow(counts, MIN_SLOW_IN_GROUP):
+            yield f'{_slow_text(counts)} on {counts.group.request_class}'
+    for counts in _by_measure(evidence):
+        if _is_slow(counts, MIN_SLOW):
+            yield _slow_text(counts)
 
 
 def _failure_reasons(
@@ -97,16 +102,9 @@
     )
 
 
-def _is_slow(counts: GroupCounts) -> bool:
-    rule = SLOW_RULE_BY_MEASURE[counts.group.measure]
+def _is_slow(counts: GroupCounts, min_slow: int) -> bool:
     return (
-        counts.slow >= rule.min_slow_answers and counts.is_slower_than_baseline
-    )
-
-
-def _is_slow_group(counts: GroupCounts) -> bool:
-    return (
-        counts.slow >= MIN_SLOW_IN_GROUP
-        and counts.slow >= counts.compared * MIN_SLOW_SHARE_IN_GROUP
+        counts.slow >= min_slow
         and counts.is_slower_than_baseline
+        and slow_answers([counts]).log_likelihood_ratio >= MIN_SLOW_LOG_RATIO
     )
--- a/tests/components/canary/test_regression.py
+++ b/tests/components/canary/test_regression.py
@@ -8,6 +8,7 @@
 import pytest
 
 from marigoldhoist.components.canary.evidence import (
+    MIN_SLOW_SPAN_S,
     GroupCounts,
     Measure,
     RecentCounts,
@@ -93,6 +94,80 @@
     return None
 
 
+def slow_counts(
+    compared: int,
+    slow: int,
+    baseline: tuple[int, int],
+    measure: Measure = Measure.START,
+) -> GroupCounts:
+    """Return the counts of one route: compared and slow answers."""
+    return GroupCounts(
+        group=SampleGroup('route/', measure),
+        answers=compared,
+        failures=0,
+        compared=compared,
+        slow=slow,
+        baseline_answers=baseline[0],
+        baseline_failures=0,
+        baseline_compared=baseline[0],
+        baseline_slow=baseline[1],
+        oldest_slow_age_s=MIN_SLOW_SPAN_S,
+        newest_slow_age_s=0,
+        recent=RecentCounts(compared, 0, baseline[0]),
+    )
+
+
+def slow_answers_until_found(
+    seed: int, slow_share: float, baseline_share: float
+) -> int | None:
+    """Return the slow answers until a version is found, None if it is not."""
+    rng = random.Random(seed)
+    baseline_slow = sum(
+        rng.random() < baseline_share for _ in range(BASELINE_ANSWERS)
+    )
+    slow = 0
+    for compared in range(1, ROLL_OUT_ANSWERS):
+        if rng.random() >= slow_share:
+            continue
+        slow += 1
+        counts = slow_counts(compared, slow, (BASELINE_ANSWERS, baseline_slow))
+        if regression_reason([counts]):
+            return slow
+    return None
+
+
+class TestSlowVersion:
+    """A version is found slow by what its share of slow answers proves."""
+
+    def test_version_with_under_half_slow_answers_is_found(self) -> None:
+        assert regression_reason([slow_counts(59, 26, (126, 0))])
+
+    @pytest.mark.parametrize('baseline_share', (0, 0.01, 0.1))
+    def test_healthy_version_is_rarely_found_slow(
+        self, baseline_share: float
+    ) -> None:
+        alarms = [
+            seed
+            for seed in HEALTHY_SEEDS
+            if slow_answers_until_found(seed, baseline_share, baseline_share)
+        ]
+        assert len(alarms) <= MAX_FALSE_ALARM_RATE * len(HEALTHY_SEEDS)
+
+    @pytest.mark.parametrize('slow_share', (0.35, 0.5, 1))
+    @pytest.mark.parametrize('baseline_share', (0, 0.01))
+    def test_slow_version_is_found_by_few_answers(
+        self, slow_share: float, baseline_share: float
+    ) -> None:
+        found = [
+            slow_answers_until_found(seed, slow_share, baseline_share)
+            for seed in BAD_SEEDS
+        ]
+        slow = [count or ROLL_OUT_ANSWERS for count in found]
+        late = sum(count > MAX_BAD_ANSWERS for count in slow)
+        assert statistics.median(slow) <= MAX_MEDIAN_BAD_ANSWERS
+        assert late <= MAX_FOUND_LATE_RATE * len(BAD_SEEDS)
+
+
 class TestErrorRates:
     """Stated error rates, by the failure rates of the baseline's routes."""
 
