Keep a control group on the old version until the evidence allows to complete

Callers of a roll-out that is held after its ramp all get the new version. Once they do, nothing can show any more that it is slow: the old version gets no answers, and its samples are used for 10 s.

Class of fault: a comparison whose control group the decision itself removes. Looked for elsewhere: failures are compared with counts that do not age; a restarted daemon takes the counts of its peers; a daemon that starts late gets samples again only while the old version is used, which now holds.

Change: the ramp stops at 0.8 of the sessions. The rest stays until a daemon's evidence allows to complete, which daemons tell each other like the clearance of the ramp, and the completion follows 0.4 s later. No session moves back.

test_held_version_that_turns_slow_is_still_compared failed with a control group of 0 and passes with it.

--- a/marigoldhoist/components/canary/analysis.py
+++ b/marigoldhoist/components/canary/analysis.py
@@ -75,6 +75,7 @@
                 list(positions),
                 now_s - self.roll_out.cleared_s,
                 self.roll_out.is_rejected,
+                now_s - self.roll_out.confirmed_s,
             )
         )
 
@@ -128,6 +129,10 @@
             self.roll_out.ordered_s = min(self.roll_out.ordered_s, ordered_s)
             cleared_s = finding.created_s - peer.cleared_for_s
             self.roll_out.cleared_s = min(self.roll_out.cleared_s, cleared_s)
+            confirmed_s = finding.created_s - peer.confirmed_for_s
+            self.roll_out.confirmed_s = min(
+                self.roll_out.confirmed_s, confirmed_s
+            )
             self.active_positions.update(peer.active_positions)
             if peer.is_rejected and self.roll_out.adopt_rejection():
                 self._log_found_bad('another daemon found it bad')
--- a/marigoldhoist/components/canary/const.py
+++ b/marigoldhoist/components/canary/const.py
@@ -18,6 +18,13 @@
 # fraction of the time between the end of the ramp and the deadline.
 DRAIN_FRACTION: Final = 0.15
 
+# Share of sessions that stay on the other versions until the evidence allows to
+# complete, so that there are answers to compare the target's with.
+CONTROL_SESSION_SHARE: Final = 0.2
+# Time from the release of these sessions to the completion, in which all
+# daemons learn of it and requests in flight end.
+CONTROL_DRAIN_S: Final = 0.4
+
 # Before any session is moved to a new version, daemons exchange their active
 # sessions for this long, but for at most this fraction of the allowed time.
 SESSION_EXCHANGE_S: Final = 3.0
--- a/marigoldhoist/components/canary/events.py
+++ b/marigoldhoist/components/canary/events.py
@@ -101,6 +101,13 @@
     'The evidence does not speak for the new version yet; it keeps the share '
     'of sessions that it has.',
 )
+VERSION_CONFIRMED = declare_event(
+    3717,
+    'version_confirmed',
+    'info',
+    'The evidence allows to complete a roll-out; the sessions that stayed on '
+    'the other versions for comparison move to the new one.',
+)
 COMPLETION_HELD = declare_event(
     3712,
     'completion_held',
--- a/marigoldhoist/components/canary/evidence.py
+++ b/marigoldhoist/components/canary/evidence.py
@@ -140,6 +140,8 @@
     canary sessions but are active on another version. `cleared_for_s` is the
     time since the daemon cleared the version for the ramp, negative infinity if
     it did not. `is_rejected` is whether the daemon knows the version as bad.
+    `confirmed_for_s` is the time since it confirmed the version, negative
+    infinity if it did not.
     """
 
     known_for_s: float
@@ -147,6 +149,7 @@
     active_positions: list[float] = []
     cleared_for_s: float = -math.inf
     is_rejected: bool = False
+    confirmed_for_s: float = -math.inf
 
     def without_recent(self) -> 'DaemonEvidence':
         """Return the evidence with no answers that count as recent."""
--- a/marigoldhoist/components/canary/gate.py
+++ b/marigoldhoist/components/canary/gate.py
@@ -9,6 +9,7 @@
     COMPLETION_HELD,
     RAMP_UP_CLEARED,
     RAMP_UP_HELD,
+    VERSION_CONFIRMED,
 )
 from marigoldhoist.components.canary.models import RollOut
 from marigoldhoist.components.canary.traffic_split import RampSchedule
@@ -69,6 +70,26 @@
                 **assessment.log_fields(),
             )
 
+    def update_control_group(self, roll_out: RollOut) -> None:
+        """Confirm the target for all sessions once the evidence allows it."""
+        now_s = self._clock.boottime_s()
+        progress = roll_out.traffic_progress(
+            now_s, self._schedule.ramp_starts_at
+        )
+        if (
+            roll_out.confirmed_s <= now_s
+            or progress <= self._schedule.ramp_starts_at
+        ):
+            return
+        assessment = self._analysis.assess(roll_out.order.service)
+        if assessment.allows(TO_COMPLETE):
+            roll_out.confirmed_s = now_s
+            emit(
+                VERSION_CONFIRMED,
+                **self._roll_out_fields(roll_out),
+                **assessment.log_fields(),
+            )
+
     def may_complete(self, roll_out: RollOut) -> bool:
         """Return whether the evidence allows to stop the old replicas."""
         assessment = self._analysis.assess(roll_out.order.service)
--- a/marigoldhoist/components/canary/models.py
+++ b/marigoldhoist/components/canary/models.py
@@ -96,7 +96,8 @@
     `is_rejected` is set when the target version is found bad,
     `is_found_elsewhere` if another daemon found it. `cleared_s` is
     the boot time from which the evidence allows to move more sessions than the
-    canary's. `stored_era` is the store's era in which the state was last known
+    canary's, `confirmed_s` the one from which it allows to move all of them.
+    `stored_era` is the store's era in which the state was last known
     to be stored. `record_era` is the newest era in which the order's record was
     read, `record_era_s` the boot time at which it was first read there.
     """
@@ -110,6 +111,7 @@
     record_era: int | None = None
     record_era_s: float = -math.inf
     is_found_elsewhere: bool = False
+    confirmed_s: float = math.inf
 
     @property
     def is_target_allowed(self) -> bool:
--- a/marigoldhoist/components/canary/service.py
+++ b/marigoldhoist/components/canary/service.py
@@ -245,6 +245,7 @@
             self._traffic_progress(roll_out),
             is_active=bool(version)
             or self.analysis.is_session_active(service, position),
+            is_confirmed=roll_out.confirmed_s <= now_s,
         )
 
     def _traffic_progress(self, roll_out: RollOut) -> float:
--- a/marigoldhoist/components/canary/status_writer.py
+++ b/marigoldhoist/components/canary/status_writer.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 
 from marigoldhoist.components.canary.const import (
+    CONTROL_DRAIN_S,
     STATUS_CHECK_INTERVAL_S,
     STATUS_PAUSE_S,
     STATUS_WRITE_JITTER_S,
@@ -77,6 +78,7 @@
             await self._store(roll_out, roll_out.state)
             return
         self._gate.update_ramp(roll_out)
+        self._gate.update_control_group(roll_out)
         desired = desired_state(
             roll_out,
             self._schedule,
@@ -166,13 +168,13 @@
     `has_old_requests` is true while requests to replicas of other versions are
     in flight; these delay the completion until `drain_ends_at`.
     """
-    progress = roll_out.traffic_progress(
-        SYSTEM_CLOCK.boottime_s(), schedule.ramp_starts_at
-    )
+    now_s = SYSTEM_CLOCK.boottime_s()
+    progress = roll_out.traffic_progress(now_s, schedule.ramp_starts_at)
     if roll_out.is_rejected:
         return RollOutState.ROLLED_BACK
+    is_released = now_s - roll_out.confirmed_s >= CONTROL_DRAIN_S
     is_over = progress > schedule.ramp_ends_at and not has_old_requests
-    if is_over or progress > schedule.drain_ends_at:
+    if is_released and (is_over or progress > schedule.drain_ends_at):
         return RollOutState.COMPLETED
     if roll_out.state is RollOutState.ORDERED:
         return RollOutState.RUNNING
--- a/marigoldhoist/components/canary/traffic_split.py
+++ b/marigoldhoist/components/canary/traffic_split.py
@@ -14,6 +14,7 @@
 
 from marigoldhoist.components.canary.const import (
     CANARY_BUDGET_FRACTION,
+    CONTROL_SESSION_SHARE,
     DRAIN_FRACTION,
     FINISH_BUDGET_FRACTION,
     MAX_REMEMBERED_SESSIONS,
@@ -80,7 +81,8 @@
     """Times and shares of a roll-out's traffic shift.
 
     A roll-out has a canary phase with a constant share of sessions, a linear
-    ramp to all sessions, and a rest until the deadline. Times are fractions of
+    ramp to all sessions but those of the control group, and a rest until the
+    deadline. Times are fractions of
     the allowed time. A version may be bad only under a load that does not occur
     in the canary phase, so the ramp is as late as the exposure budget
     `canary_share` requires.
@@ -112,21 +114,30 @@
             - FINISH_BUDGET_FRACTION * (1 - DRAIN_FRACTION) * self.canary_share
         )
 
-    def target_share(self, progress: float) -> float:
-        """Return the share of sessions that get the target version."""
+    def target_share(
+        self, progress: float, *, is_confirmed: bool = True
+    ) -> float:
+        """Return the share of sessions that get the target version.
+
+        The control group stays until the target `is_confirmed`.
+        """
         if progress < 0:
             return 0
         if progress <= self.ramp_starts_at:
             return self.canary_session_share
-        if progress >= self.ramp_ends_at:
-            return 1
         moved = (progress - self.ramp_starts_at) / (
             self.ramp_ends_at - self.ramp_starts_at
         )
-        return max(self.canary_session_share, moved)
+        most = 1 if is_confirmed else 1 - CONTROL_SESSION_SHARE
+        return max(self.canary_session_share, min(moved, most))
 
     def is_on_target(
-        self, position: float, progress: float, *, is_active: bool
+        self,
+        position: float,
+        progress: float,
+        *,
+        is_active: bool,
+        is_confirmed: bool = True,
     ) -> bool:
         """Return whether a session gets the target version.
 
@@ -135,7 +146,7 @@
         """
         if is_active and progress <= self.ramp_starts_at:
             return False
-        return position < self.target_share(progress)
+        return position < self.target_share(progress, is_confirmed=is_confirmed)
 
 
 def session_position(session: str) -> float:
--- a/tests/components/canary/test_status_writer.py
+++ b/tests/components/canary/test_status_writer.py
@@ -23,12 +23,20 @@
     *,
     is_rejected: bool = False,
     is_cleared: bool = True,
+    confirmed_for_s: float = ALLOWED_S,
 ) -> RollOut:
     """Return a roll-out with the given progress and state."""
     ordered_s = SYSTEM_CLOCK.boottime_s() - progress * ALLOWED_S
     order = RollOutOrder('s', 'v2', ALLOWED_S)
     cleared_s = ordered_s if is_cleared else math.inf
-    return RollOut(order, ordered_s, state, is_rejected, cleared_s)
+    return RollOut(
+        order,
+        ordered_s,
+        state,
+        is_rejected,
+        cleared_s,
+        confirmed_s=SYSTEM_CLOCK.boottime_s() - confirmed_for_s,
+    )
 
 
 class TestDesiredState:
@@ -52,6 +60,14 @@
         )
         assert state is expected
 
+    @pytest.mark.parametrize('confirmed_for_s', (-math.inf, 0))
+    def test_waits_until_the_control_group_is_drained(
+        self, confirmed_for_s: float
+    ) -> None:
+        held = roll_out(1.5, confirmed_for_s=confirmed_for_s)
+        state = desired_state(held, SCHEDULE, has_old_requests=False)
+        assert state is RollOutState.RUNNING
+
     def test_new_order_starts_running(self) -> None:
         ordered = roll_out(0, RollOutState.ORDERED)
         state = desired_state(ordered, SCHEDULE, has_old_requests=True)
--- a/tests/components/canary/test_traffic_split.py
+++ b/tests/components/canary/test_traffic_split.py
@@ -1,15 +1,28 @@
 """Tests of the target version's traffic share and its sessions."""
 
+import random
+
 import pytest
 
+from marigoldhoist.components.canary.comparison import (
+    AnswerSample,
+    VersionComparison,
+)
+from marigoldhoist.components.canary.const import CONTROL_SESSION_SHARE
+from marigoldhoist.components.canary.regression import regression_reason
 from marigoldhoist.components.canary.traffic_split import (
     RampSchedule,
     RecentSessions,
     session_position,
 )
+from tests.fakes import FakeClock
 
 CANARY_SHARE = 0.15
 SCHEDULE = RampSchedule(CANARY_SHARE)
+# Calls of one route to a held roll-out, and the time at which it turns slow.
+CALLS_PER_S = 10
+SLOW_AFTER_S = 15
+HELD_S = 20
 
 
 class TestShare:
@@ -44,6 +57,35 @@
         assert chosen / 5000 == pytest.approx(share, abs=0.02)
 
 
+class TestControlGroup:
+    """Sessions that stay on the old version until the target is confirmed."""
+
+    def test_held_version_that_turns_slow_is_still_compared(self) -> None:
+        clock = FakeClock()
+        comparison = VersionComparison(clock.monotonic_s)
+        comparison.begin('new')
+        rng = random.Random(1)
+        slow_from_s = clock.time_s + SLOW_AFTER_S
+        for _ in range(HELD_S * CALLS_PER_S):
+            clock.time_s += 1 / CALLS_PER_S
+            is_on_target = SCHEDULE.is_on_target(
+                rng.random(), 1, is_active=False, is_confirmed=False
+            )
+            is_slow = clock.time_s > slow_from_s and rng.random() > 0.5
+            comparison.record(
+                'new' if is_on_target else 'old',
+                AnswerSample(False, 8 if is_slow and is_on_target else 1, 'r'),
+            )
+        assert 'slow' in regression_reason(comparison.evidence())
+
+    @pytest.mark.parametrize('progress', (0.97, 1, 3))
+    def test_stays_as_large_while_the_roll_out_is_held(
+        self, progress: float
+    ) -> None:
+        share = SCHEDULE.target_share(progress, is_confirmed=False)
+        assert share == pytest.approx(1 - CONTROL_SESSION_SHARE)
+
+
 class TestMove:
     """Sessions that are on the target version, by time."""
 
--- a/tests/test_log_lines.py
+++ b/tests/test_log_lines.py
@@ -70,6 +70,7 @@
     'STATUS_WRITTEN': {'service', 'target', 'state', 'expected_end'} | EVIDENCE,
     'RAMP_UP_CLEARED': {'service', 'target', 'progress'} | EVIDENCE,
     'RAMP_UP_HELD': {'service', 'target', 'progress'} | EVIDENCE,
+    'VERSION_CONFIRMED': {'service', 'target', 'progress'} | EVIDENCE,
     'COMPLETION_HELD': {'service', 'target', 'progress'} | EVIDENCE,
     'STATUS_NOT_WRITTEN': {'service', 'target', 'state', 'expected_end'}
     | {'reason'},
