Compare answers with the baseline samples of all daemons

Callers of a slow version waited for its roll-back until most of them used it: in the canary phase too few of its answers could be judged.

Cause: each daemon compared with its own samples, four of the last 10 s on the same route. Nine daemons and seven routes share some 20 calls a second, so a sample group of one daemon rarely has four.

Change: a daemon's evidence has its four newest samples of each group with their ages; daemons compare with the newest of all. What is older than 10 s stays out.

test_few_baseline_answers_at_each_daemon_suffice failed before.

--- a/marigoldhoist/components/canary/analysis.py
+++ b/marigoldhoist/components/canary/analysis.py
@@ -1,6 +1,7 @@
 """Analyse new versions with the evidence of all daemons."""
 
 import collections
+import dataclasses
 import itertools
 from collections.abc import Callable, Iterable, Iterator
 from typing import Final, TypeAlias
@@ -10,6 +11,7 @@
 from marigoldhoist.components.canary.clearance import Assessment, assess
 from marigoldhoist.components.canary.comparison import (
     AnswerSample,
+    TimeSample,
     VersionComparison,
 )
 from marigoldhoist.components.canary.const import MAX_SHARED_SESSIONS
@@ -20,6 +22,7 @@
 from marigoldhoist.components.canary.evidence import (
     DaemonEvidence,
     Evidence,
+    SampleGroup,
     pool_evidence,
 )
 from marigoldhoist.components.canary.models import RollOut
@@ -38,6 +41,14 @@
 FindActivePositions: TypeAlias = Callable[[str], Iterable[float]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PeerEvidence:
+    """The evidence of another daemon; `created_s` is in local boot time."""
+
+    evidence: DaemonEvidence
+    created_s: float
+
+
 class _RollOutAnalysis:
     """Analyses one roll-out by the evidence of this and other daemons."""
 
@@ -76,6 +87,7 @@
                 now_s - self.roll_out.cleared_s,
                 self.roll_out.is_rejected,
                 now_s - self.roll_out.confirmed_s,
+                list(self._comparison.shared_samples()),
             )
         )
 
@@ -111,9 +123,12 @@
         self._peers_refreshed_s = now_s
         peers = list(self._decode_peer_evidence())
         self._peer_count = len(peers)
-        self._peer_evidence = pool_evidence(peer.evidence for peer in peers)
+        self._peer_evidence = pool_evidence(
+            peer.evidence.evidence for peer in peers
+        )
+        self._comparison.peer_samples_by_group = _samples_by_group(peers)
 
-    def _decode_peer_evidence(self) -> Iterator[DaemonEvidence]:
+    def _decode_peer_evidence(self) -> Iterator[_PeerEvidence]:
         # The recent answers of a daemon that has gone would stay recent.
         max_age_s = self.roll_out.order.recent_s / 2
         recent_since_s = self._clock.boottime_s() - max_age_s
@@ -137,7 +152,27 @@
             if peer.is_rejected and self.roll_out.adopt_rejection():
                 self._log_found_bad('another daemon found it bad')
             is_recent = finding.created_s >= recent_since_s
-            yield peer if is_recent else peer.without_recent()
+            yield _PeerEvidence(
+                peer if is_recent else peer.without_recent(), finding.created_s
+            )
+
+
+def _samples_by_group(
+    peers: Iterable[_PeerEvidence],
+) -> dict[SampleGroup, list[TimeSample]]:
+    """Return the baseline samples of other daemons, in local boot time."""
+    samples_by_group: collections.defaultdict[SampleGroup, list[TimeSample]] = (
+        collections.defaultdict(list)
+    )
+    for peer in peers:
+        for shared in peer.evidence.baseline_samples:
+            samples_by_group[shared.group].extend(
+                TimeSample(peer.created_s - age_s, relative_time)
+                for age_s, relative_time in zip(
+                    shared.ages_s, shared.relative_times, strict=False
+                )
+            )
+    return samples_by_group
 
 
 class CanaryAnalysis:
--- a/marigoldhoist/components/canary/comparison.py
+++ b/marigoldhoist/components/canary/comparison.py
@@ -12,11 +12,12 @@
 import itertools
 import math
 import statistics
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Final
 
 from marigoldhoist.components.canary.const import MIN_RECENT_S
 from marigoldhoist.components.canary.evidence import (
+    BaselineSamples,
     Evidence,
     GroupCounts,
     Measure,
@@ -26,13 +27,14 @@
 
 # Number of newest answers kept for each version and sample group.
 MAX_REMEMBERED_ANSWERS: Final = 60
-# An answer is compared with the median of the baseline's newest answers: at
-# most MAX_BASELINE_SAMPLES, none older than MAX_BASELINE_AGE_S, so that both
-# sides had the same load. With fewer than MIN_BASELINE_SAMPLES there is no
-# comparison.
+# An answer is compared with the median of the baseline's newest answers at all
+# daemons: at most MAX_BASELINE_SAMPLES, none older than MAX_BASELINE_AGE_S, so
+# that both sides had the same load. With fewer than MIN_BASELINE_SAMPLES there
+# is no comparison. A daemon shares MAX_SHARED_SAMPLES of each group.
 MAX_BASELINE_SAMPLES: Final = 12
 MIN_BASELINE_SAMPLES: Final = 4
 MAX_BASELINE_AGE_S: Final = 10.0
+MAX_SHARED_SAMPLES: Final = 4
 # An answer is slow if it took more than this multiple of the baseline's median
 # in the same sample group. The time to the start of an answer varies more than
 # the pace.
@@ -63,7 +65,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _TimeSample:
+class TimeSample:
     """Relative latency of an answer, and when it was recorded."""
 
     recorded_s: float
@@ -86,7 +88,7 @@
         self.slow_at_s: collections.deque[float] = collections.deque(
             maxlen=MAX_REMEMBERED_ANSWERS
         )
-        self.times: collections.deque[_TimeSample] = collections.deque(
+        self.times: collections.deque[TimeSample] = collections.deque(
             maxlen=MAX_BASELINE_SAMPLES
         )
 
@@ -131,6 +133,8 @@
         )
         self._recent_s = MIN_RECENT_S
         self.target = ''
+        # Baseline samples of other daemons.
+        self.peer_samples_by_group: Mapping[SampleGroup, list[TimeSample]] = {}
 
     def begin(self, target: str, recent_s: float = MIN_RECENT_S) -> None:
         """Make a version the target and discard its earlier answers.
@@ -139,6 +143,7 @@
         """
         self._recent_s = recent_s
         self._history_by_version.pop(target, None)
+        self.peer_samples_by_group = {}
         self.target = target
 
     def record(self, version: str, answer: AnswerSample) -> None:
@@ -153,23 +158,37 @@
             history.record_comparison(
                 answer.relative_time > factor * median, self._clock()
             )
-        history.times.append(_TimeSample(self._clock(), answer.relative_time))
+        history.times.append(TimeSample(self._clock(), answer.relative_time))
 
     def evidence(self) -> Evidence:
         """Return the counts of the target and of its baseline.
 
         Groups in which only the baseline has answers are included.
         """
+        own_by_group = self._history_by_version[self.target]
+        return [
+            self._group_counts(group, own_by_group.get(group, NO_ANSWERS))
+            for group in self._groups()
+        ]
+
+    def shared_samples(self) -> Iterator[BaselineSamples]:
+        """Yield this daemon's newest baseline samples of each group."""
+        for group in self._groups():
+            newest = self._recent_samples(group)[-MAX_SHARED_SAMPLES:]
+            if newest:
+                yield BaselineSamples(
+                    group,
+                    [self._clock() - sample.recorded_s for sample in newest],
+                    [sample.relative_time for sample in newest],
+                )
+
+    def _groups(self) -> list[SampleGroup]:
         groups = {
             group
             for history_by_group in self._history_by_version.values()
             for group in history_by_group
         }
-        own_by_group = self._history_by_version[self.target]
-        return [
-            self._group_counts(group, own_by_group.get(group, NO_ANSWERS))
-            for group in sorted(groups, key=_group_order)
-        ]
+        return sorted(groups, key=_group_order)
 
     def _group_counts(
         self, group: SampleGroup, own: _SampleHistory
@@ -204,19 +223,31 @@
 
     def _baseline_median(self, group: SampleGroup) -> float | None:
         """Return the baseline's median latency, None with too few samples."""
-        oldest_s = self._clock() - MAX_BASELINE_AGE_S
-        samples = itertools.chain.from_iterable(
-            history.times for history in self._baseline_histories(group)
-        )
-        recent = sorted(
-            (sample for sample in samples if sample.recorded_s >= oldest_s),
-            key=lambda sample: sample.recorded_s,
+        recent = self._recent_samples(
+            group, self.peer_samples_by_group.get(group, ())
         )
         if len(recent) < MIN_BASELINE_SAMPLES:
             return None
         newest = recent[-MAX_BASELINE_SAMPLES:]
         return statistics.median(sample.relative_time for sample in newest)
 
+    def _recent_samples(
+        self, group: SampleGroup, peer_samples: Iterable[TimeSample] = ()
+    ) -> list[TimeSample]:
+        """Return this and other daemons' recent samples, oldest first."""
+        oldest_s = self._clock() - MAX_BASELINE_AGE_S
+        own_samples = itertools.chain.from_iterable(
+            history.times for history in self._baseline_histories(group)
+        )
+        return sorted(
+            (
+                sample
+                for sample in itertools.chain(own_samples, peer_samples)
+                if sample.recorded_s >= oldest_s
+            ),
+            key=lambda sample: sample.recorded_s,
+        )
+
     def _baseline_histories(
         self, group: SampleGroup
     ) -> Iterator[_SampleHistory]:
--- a/marigoldhoist/components/canary/evidence.py
+++ b/marigoldhoist/components/canary/evidence.py
@@ -132,6 +132,17 @@
 Evidence: TypeAlias = list[GroupCounts]
 
 
+class BaselineSamples(msgspec.Struct, frozen=True, array_like=True):
+    """The newest latencies of the baseline in one sample group.
+
+    `ages_s` are the ages of the `relative_times`, which are in seconds.
+    """
+
+    group: SampleGroup
+    ages_s: list[float]
+    relative_times: list[float]
+
+
 class DaemonEvidence(msgspec.Struct, frozen=True, array_like=True):
     """A daemon's evidence, as shared with the other daemons.
 
@@ -141,7 +152,7 @@
     time since the daemon cleared the version for the ramp, negative infinity if
     it did not. `is_rejected` is whether the daemon knows the version as bad.
     `confirmed_for_s` is the time since it confirmed the version, negative
-    infinity if it did not.
+    infinity if it did not. `baseline_samples` are latencies to compare with.
     """
 
     known_for_s: float
@@ -150,6 +161,7 @@
     cleared_for_s: float = -math.inf
     is_rejected: bool = False
     confirmed_for_s: float = -math.inf
+    baseline_samples: list[BaselineSamples] = []
 
     def without_recent(self) -> 'DaemonEvidence':
         """Return the evidence with no answers that count as recent."""
--- a/tests/components/canary/test_analysis.py
+++ b/tests/components/canary/test_analysis.py
@@ -10,7 +10,10 @@
     PEER_EVIDENCE_TTL_S,
     CanaryAnalysis,
 )
-from marigoldhoist.components.canary.comparison import AnswerSample
+from marigoldhoist.components.canary.comparison import (
+    MAX_BASELINE_AGE_S,
+    AnswerSample,
+)
 from marigoldhoist.components.canary.evidence import Evidence, Measure
 from marigoldhoist.components.canary.models import (
     RollOut,
@@ -152,6 +155,32 @@
         assert not daemons[0].findings.known_findings()
 
 
+class TestSharedBaseline:
+    """Answers are compared with the baseline's samples of all daemons."""
+
+    def test_few_baseline_answers_at_each_daemon_suffice(
+        self, clock: Clock
+    ) -> None:
+        daemons = [Daemon(f'd{number}', clock) for number in range(4)]
+        for daemon in daemons:
+            daemon.record_pace('v1', NORMAL_PACE_S)
+        gossip(daemons, clock)
+        for _ in range(4):
+            clock.now_s += 1
+            daemons[-1].record_pace('v2', SLOW_PACE_S)
+        assert daemons[-1].roll_out.is_rejected
+
+    def test_outdated_samples_of_peers_are_not_used(
+        self, daemons: list[Daemon], clock: Clock
+    ) -> None:
+        gossip(daemons, clock)
+        clock.now_s += MAX_BASELINE_AGE_S
+        for _ in range(4):
+            clock.now_s += 1
+            daemons[-1].record_pace('v2', SLOW_PACE_S)
+        assert not daemons[-1].roll_out.is_rejected
+
+
 class TestActiveSessions:
     """Active sessions of other daemons on the old version."""
 
