Do not wait for a route on which every version fails

Cause: completion waits until each route speaks for the version.

Change: a route whose baseline fails in more than 0.8 of its answers is left out. The failures of the service as a whole still have to speak for the version.

test_route_that_fails_in_every_version_is_not_waited_for failed before.

--- a/marigoldhoist/components/canary/clearance.py
+++ b/marigoldhoist/components/canary/clearance.py
@@ -28,6 +28,8 @@
 # Routes with a smaller share of the recent answers of all versions give too
 # little evidence to wait for.
 MIN_ROUTE_SHARE: Final = 0.05
+# A route on which the baseline fails more often than this cannot show a fault.
+MAX_BASELINE_FAILURE_RATE: Final = 0.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,8 +69,8 @@
     """Log likelihood ratios of a fault, by what was compared.
 
     `answers` are the recent answers of the new version. `failures_by_route` has
-    no routes with few answers; `failures` and `slowness` are the ratios of all
-    answers. `latencies` are the answers whose latencies were compared.
+    no routes that can show little; `failures` and `slowness` are the ratios of
+    all answers. `latencies` are the answers whose latencies were compared.
     """
 
     answers: int
@@ -143,6 +145,7 @@
             route: outcomes.log_likelihood_ratio
             for route, outcomes in outcomes_by_route.items()
             if route not in rare
+            and outcomes.baseline_rate <= MAX_BASELINE_FAILURE_RATE
         },
         slowness=max(
             (outcomes.log_likelihood_ratio for outcomes in slow_outcomes),
--- a/marigoldhoist/components/canary/likelihood.py
+++ b/marigoldhoist/components/canary/likelihood.py
@@ -41,11 +41,16 @@
     prior_total: float
 
     @property
-    def log_likelihood_ratio(self) -> float:
-        """Return the log of the ratio of a fault to none, 0 if unknown."""
-        rate = (self.prior_bad + self.baseline_bad) / (
+    def baseline_rate(self) -> float:
+        """Return the baseline's rate of bad answers."""
+        return (self.prior_bad + self.baseline_bad) / (
             self.prior_total + self.baseline_total
         )
+
+    @property
+    def log_likelihood_ratio(self) -> float:
+        """Return the log of the ratio of a fault to none, 0 if unknown."""
+        rate = self.baseline_rate
         rate_with_fault = rate + FAULT_SHARE * (1 - rate)
         good = self.total - self.bad
         return self.bad * math.log(rate_with_fault / rate) + good * math.log(
--- a/tests/components/canary/test_clearance.py
+++ b/tests/components/canary/test_clearance.py
@@ -82,6 +82,11 @@
         moved = counts('b', 4, 1, (BASELINE_ANSWERS, 60), is_in_use=False)
         assert not is_cleared(counts('a', 50, 0, is_in_use=False), moved)
 
+    def test_route_that_fails_in_every_version_is_not_waited_for(self) -> None:
+        failing = counts('b', 20, 20, (BASELINE_ANSWERS, BASELINE_ANSWERS))
+        assert is_cleared(counts('a', 50, 0), failing)
+        assert not is_cleared(failing)
+
     def test_failure_on_a_rare_route_is_left_to_the_regression_rule(
         self,
     ) -> None:
