Judge the recent comparisons of a version by themselves as well

Change: the evidence has the compared and slow answers of the recent time, like the failures. They reject above the higher limit of recent answers, and hold a completion while they speak against the version.

test_version_that_turns_slow_after_many_answers_is_found and test_recent_slow_answers_clear_nothing failed before (the counts did not exist); test_recent_slow_answers_at_one_moment_are_not_bad keeps a burst from counting.

--- a/marigoldhoist/components/canary/clearance.py
+++ b/marigoldhoist/components/canary/clearance.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import math
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 from marigoldhoist.components.canary.evidence import (
@@ -17,6 +18,7 @@
     Measure,
 )
 from marigoldhoist.components.canary.likelihood import (
+    Outcomes,
     by_route,
     failures_by_route,
     grouped,
@@ -128,9 +130,12 @@
     ]
     rare = _rare_routes(starts)
     outcomes_by_route = failures_by_route(starts, recent_failures)
-    slow_outcomes = [
-        slow_answers(group) for _, group in grouped(evidence, measure_name)
-    ]
+    slow_outcomes = list(_slow_outcomes(evidence))
+    recent_slow_outcomes = _slow_outcomes(
+        counts.with_recent_latencies()
+        for counts in evidence
+        if counts.recent.slow
+    )
     return Assessment(
         answers=sum(counts.recent.answers for counts in starts),
         baseline_answers=sum(counts.baseline_answers for counts in starts),
@@ -148,7 +153,10 @@
             and outcomes.baseline_rate <= MAX_BASELINE_FAILURE_RATE
         },
         slowness=max(
-            (outcomes.log_likelihood_ratio for outcomes in slow_outcomes),
+            (
+                outcomes.log_likelihood_ratio
+                for outcomes in (*slow_outcomes, *recent_slow_outcomes)
+            ),
             default=0,
         ),
         latencies=LatencyCounts(
@@ -164,6 +172,12 @@
     )
 
 
+def _slow_outcomes(evidence: Iterable[GroupCounts]) -> Iterator[Outcomes]:
+    """Yield the slow answers by what was measured."""
+    for _, group in grouped(evidence, measure_name):
+        yield slow_answers(group)
+
+
 def _rare_routes(starts: Evidence) -> set[str]:
     """Return routes that are not in use or have few of the recent answers."""
     recent_by_route = {
--- a/marigoldhoist/components/canary/comparison.py
+++ b/marigoldhoist/components/canary/comparison.py
@@ -85,6 +85,9 @@
         self.slow: collections.deque[bool] = collections.deque(
             maxlen=MAX_REMEMBERED_ANSWERS
         )
+        self.compared_at_s: collections.deque[float] = collections.deque(
+            maxlen=MAX_REMEMBERED_ANSWERS
+        )
         self.slow_at_s: collections.deque[float] = collections.deque(
             maxlen=MAX_REMEMBERED_ANSWERS
         )
@@ -99,21 +102,28 @@
 
     def recent_failures(self, since_s: float) -> list[bool]:
         """Return whether each answer since a boot time was a failure."""
-        return [
-            is_failure
-            for is_failure, recorded_s in zip(
-                self.failures, self.recorded_s, strict=True
-            )
-            if recorded_s >= since_s
-        ]
+        return list(_recent(self.failures, self.recorded_s, since_s))
+
+    def recent_slow(self, since_s: float) -> list[bool]:
+        """Return whether each answer compared since a boot time was slow."""
+        return list(_recent(self.slow, self.compared_at_s, since_s))
 
     def record_comparison(self, is_slow: bool, now_s: float) -> None:
         """Record whether an answer was slow in a comparison."""
         self.slow.append(is_slow)
+        self.compared_at_s.append(now_s)
         if is_slow:
             self.slow_at_s.append(now_s)
 
 
+def _recent(
+    flags: Iterable[bool], times_s: Iterable[float], since_s: float
+) -> Iterator[bool]:
+    for flag, time_s in zip(flags, times_s, strict=True):
+        if time_s >= since_s:
+            yield flag
+
+
 NO_ANSWERS: Final = _SampleHistory()
 
 
@@ -194,8 +204,6 @@
         self, group: SampleGroup, own: _SampleHistory
     ) -> GroupCounts:
         baseline = list(self._baseline_histories(group))
-        recent_since_s = self._clock() - self._recent_s
-        recent = own.recent_failures(recent_since_s)
         ages = [self._clock() - slow_at_s for slow_at_s in own.slow_at_s]
         return GroupCounts(
             group=group,
@@ -211,14 +219,28 @@
             baseline_slow=sum(sum(history.slow) for history in baseline),
             oldest_slow_age_s=max(ages, default=0),
             newest_slow_age_s=min(ages, default=math.inf),
-            recent=RecentCounts(
-                len(recent),
-                sum(recent),
-                sum(
-                    len(history.recent_failures(recent_since_s))
-                    for history in baseline
-                ),
+            recent=self._recent_counts(own, baseline, ages),
+        )
+
+    def _recent_counts(
+        self,
+        own: _SampleHistory,
+        baseline: list[_SampleHistory],
+        slow_ages_s: list[float],
+    ) -> RecentCounts:
+        since_s = self._clock() - self._recent_s
+        failures = own.recent_failures(since_s)
+        slow = own.recent_slow(since_s)
+        recent_ages_s = (age for age in slow_ages_s if age <= self._recent_s)
+        return RecentCounts(
+            answers=len(failures),
+            failures=sum(failures),
+            baseline_answers=sum(
+                len(history.recent_failures(since_s)) for history in baseline
             ),
+            compared=len(slow),
+            slow=sum(slow),
+            oldest_slow_age_s=max(recent_ages_s, default=0),
         )
 
     def _baseline_median(self, group: SampleGroup) -> float | None:
--- a/marigoldhoist/components/canary/evidence.py
+++ b/marigoldhoist/components/canary/evidence.py
@@ -53,11 +53,18 @@
 
 
 class RecentCounts(msgspec.Struct, frozen=True, array_like=True):
-    """Recent answers and failures of a version, answers of its baseline."""
+    """Recent answers and failures of a version, answers of its baseline.
+
+    `compared` is the number of recent answers whose latency was compared;
+    `slow` of these took much longer, the oldest `oldest_slow_age_s` ago.
+    """
 
     answers: int
     failures: int
     baseline_answers: int
+    compared: int = 0
+    slow: int = 0
+    oldest_slow_age_s: float = 0
 
     def plus(self, other: 'RecentCounts') -> 'RecentCounts':
         """Return the sums of the counts of two daemons."""
@@ -65,6 +72,9 @@
             self.answers + other.answers,
             self.failures + other.failures,
             self.baseline_answers + other.baseline_answers,
+            self.compared + other.compared,
+            self.slow + other.slow,
+            max(self.oldest_slow_age_s, other.oldest_slow_age_s),
         )
 
 
@@ -111,12 +121,18 @@
         )
 
     @property
-    def is_slower_than_baseline(self) -> bool:
-        """Return whether answers are persistently slower than the baseline."""
+    def is_slow_persistently(self) -> bool:
+        """Return whether the slow answers are spread over time."""
         span_s = self.oldest_slow_age_s - self.newest_slow_age_s
-        return (
-            span_s >= MIN_SLOW_SPAN_S
-            and self.slow > self.compared * self.slow_share_limit
+        return span_s >= MIN_SLOW_SPAN_S
+
+    def with_recent_latencies(self) -> 'GroupCounts':
+        """Return the counts with the recent comparisons alone."""
+        return msgspec.structs.replace(
+            self,
+            compared=self.recent.compared,
+            slow=self.recent.slow,
+            oldest_slow_age_s=self.recent.oldest_slow_age_s,
         )
 
     @property
--- a/marigoldhoist/components/canary/likelihood.py
+++ b/marigoldhoist/components/canary/likelihood.py
@@ -66,7 +66,7 @@
 
 
 def grouped(
-    evidence: Evidence, key: Callable[[GroupCounts], str]
+    evidence: Iterable[GroupCounts], key: Callable[[GroupCounts], str]
 ) -> Iterator[tuple[str, list[GroupCounts]]]:
     """Yield the counts by the name that a function returns for them."""
     for name, group in itertools.groupby(sorted(evidence, key=key), key):
--- a/marigoldhoist/components/canary/regression.py
+++ b/marigoldhoist/components/canary/regression.py
@@ -50,12 +50,9 @@
     ]
     yield from _failure_reasons(starts, all_failures, MIN_LOG_RATIO)
     yield from _failure_reasons(starts, recent_failures, MIN_RECENT_LOG_RATIO)
-    for counts in evidence:
-        if _is_slow(counts, MIN_SLOW_IN_GROUP):
-            yield f'{_slow_text(counts)} on {counts.group.request_class}'
-    for counts in _by_measure(evidence):
-        if _is_slow(counts, MIN_SLOW):
-            yield _slow_text(counts)
+    yield from _slow_reasons(evidence, MIN_SLOW_LOG_RATIO)
+    recent = [counts.with_recent_latencies() for counts in evidence]
+    yield from _slow_reasons(recent, MIN_RECENT_LOG_RATIO)
 
 
 def _failure_reasons(
@@ -83,6 +80,16 @@
     return f'{failures} of {answers} answers failed (log ratio {log_ratio:.1f})'
 
 
+def _slow_reasons(evidence: Evidence, min_log_ratio: float) -> Iterator[str]:
+    """Yield texts for each group and for all answers that are too slow."""
+    for counts in evidence:
+        if _is_slow(counts, MIN_SLOW_IN_GROUP, min_log_ratio):
+            yield f'{_slow_text(counts)} on {counts.group.request_class}'
+    for counts in _by_measure(evidence):
+        if _is_slow(counts, MIN_SLOW, min_log_ratio):
+            yield _slow_text(counts)
+
+
 def _slow_text(counts: GroupCounts) -> str:
     return (
         f'{counts.slow} of {counts.compared} answers slow'
@@ -102,9 +109,10 @@
     )
 
 
-def _is_slow(counts: GroupCounts, min_slow: int) -> bool:
+def _is_slow(counts: GroupCounts, min_slow: int, min_log_ratio: float) -> bool:
     return (
         counts.slow >= min_slow
-        and counts.is_slower_than_baseline
-        and slow_answers([counts]).log_likelihood_ratio >= MIN_SLOW_LOG_RATIO
+        and counts.is_slow_persistently
+        and counts.slow > counts.compared * counts.slow_share_limit
+        and slow_answers([counts]).log_likelihood_ratio >= min_log_ratio
     )
--- a/tests/components/canary/test_clearance.py
+++ b/tests/components/canary/test_clearance.py
@@ -108,6 +108,14 @@
         assert not assessment.allows(TO_RAMP_UP)
         assert assess([counts('a', 40, 0, slow=1)]).allows(TO_RAMP_UP)
 
+    def test_recent_slow_answers_clear_nothing(self) -> None:
+        evidence = counts('a', 100, 0, slow=1)
+        assert assess([evidence]).allows(TO_COMPLETE)
+        evidence.recent = RecentCounts(
+            20, 0, BASELINE_ANSWERS, compared=10, slow=5
+        )
+        assert not assess([evidence]).allows(TO_COMPLETE)
+
     def test_models_of_a_route_are_taken_together(self) -> None:
         first, second = counts('a', 5, 0), counts('a', 5, 0)
         second.group = SampleGroup('a/other', Measure.START)
--- a/tests/components/canary/test_regression.py
+++ b/tests/components/canary/test_regression.py
@@ -142,6 +142,17 @@
     def test_version_with_under_half_slow_answers_is_found(self) -> None:
         assert regression_reason([slow_counts(59, 26, (126, 0))])
 
+    def test_version_that_turns_slow_after_many_answers_is_found(self) -> None:
+        counts = slow_counts(600, 20, (400, 0))
+        assert not regression_reason([counts])
+        counts.recent = RecentCounts(40, 0, 100, 40, 20, MIN_SLOW_SPAN_S)
+        assert regression_reason([counts])
+
+    def test_recent_slow_answers_at_one_moment_are_not_bad(self) -> None:
+        counts = slow_counts(600, 20, (400, 0))
+        counts.recent = RecentCounts(40, 0, 100, 40, 20, MIN_SLOW_SPAN_S / 2)
+        assert not regression_reason([counts])
+
     @pytest.mark.parametrize('baseline_share', (0, 0.01, 0.1))
     def test_healthy_version_is_rarely_found_slow(
         self, baseline_share: float
