Believe a refusal only if it is certainly of the request that was sent

Another operator reported a replica that wrote an earlier refusal once more on a kept connection: clients were told 'not run' for requests that were running, and such requests ran at a second replica.

It can happen here, in two ways. A refusal without an id was taken for the answer to whatever request was sent last. And a repeatable call that is sent to the same replica again over the same connection has the id of the refusal before.

Change: a connection counts its requests and keeps the id that it refused last. A refusal without an id counts on the first request of a connection only, and one with the id of an earlier refusal of that connection does not count. The call may have run then: 502 in place of 503, and no second replica for a call that may not be repeated.

The stand-in replica's refusals name the request now, as the protocol says.

--- a/marigoldhoist/components/gateway/models.py
+++ b/marigoldhoist/components/gateway/models.py
@@ -91,6 +91,11 @@
     confidence: int | None = None
     idle_timeout_s: float | None = None
 
+    @property
+    def is_refusal(self) -> bool:
+        """Return whether the response says that the request did not run."""
+        return self.was_not_run or self.is_misdirected
+
 
 class Dialect(Protocol):
     """Translates between HTTP messages of the platform and gateway models."""
--- a/marigoldhoist/components/gateway/pool.py
+++ b/marigoldhoist/components/gateway/pool.py
@@ -47,12 +47,31 @@
         super().__init__(ResponseParser())
         self.is_idle = False
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
+        self._request_count = 0
+        self._refused_id = ''
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and enable TCP keepalive."""
         super().connection_made(transport)
         enable_keepalive(transport)
 
+    async def write_request(self, content: bytes) -> None:
+        """Write a request and wait while the write buffer is full."""
+        self._request_count += 1
+        await self.write(content)
+
+    def take_refusal(self, request_id: str, answered_id: str) -> bool:
+        """Note a refusal; return whether it is certainly of this request.
+
+        A copy of an earlier one has another id or none, or the id of a request
+        that was refused before on this connection.
+        """
+        is_repeated = self._refused_id == request_id
+        self._refused_id = request_id
+        if answered_id:
+            return not is_repeated
+        return self._request_count == 1
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if it is idle."""
         super().data_received(data)
--- a/marigoldhoist/components/gateway/replica_response.py
+++ b/marigoldhoist/components/gateway/replica_response.py
@@ -28,7 +28,8 @@
 
     `time_to_head_s` is the time from the send to the head, `body_wait_s` the
     time spent waiting for body data; neither includes the time spent writing
-    to the caller. `is_from_peer` means that another daemon passed it on.
+    to the caller. `is_from_peer` means that another daemon passed it on,
+    `is_proven_refusal` that the request was refused and did not run.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         self._has_body = has_body
         self._is_complete = False
         self.is_from_peer = False
+        self.is_proven_refusal = False
 
     @property
     def is_success(self) -> bool:
--- a/marigoldhoist/components/gateway/sender.py
+++ b/marigoldhoist/components/gateway/sender.py
@@ -172,7 +172,7 @@
         sent_s = SYSTEM_CLOCK.boottime_s()
         try:
             with _tracked_prefill(replica, forwarding.expected_prefill_s):
-                await connection.write(
+                await connection.write_request(
                     self._dialect.request_bytes(call, forwarding)
                 )
                 head, metadata = await self._read_matching_head(
@@ -190,6 +190,10 @@
             replica, connection, head, metadata, has_body=call.method != HEAD
         )
         response.time_to_head_s = SYSTEM_CLOCK.boottime_s() - sent_s
+        if metadata.is_refusal:
+            response.is_proven_refusal = connection.take_refusal(
+                call.request_id, metadata.request_id
+            )
         return response
 
     async def _read_matching_head(
@@ -237,6 +241,11 @@
 
     async def _validate(self, response: ReplicaResponse) -> None:
         """Raise AttemptError for a response that must not be delivered."""
+        if response.metadata.is_refusal and not response.is_proven_refusal:
+            raise AttemptError(
+                'refusal that may be of an earlier request',
+                Verdict.MAY_HAVE_RUN,
+            )
         if response.metadata.is_misdirected:
             self._directory.note_replaced(response.replica)
             raise AttemptError('another replica answered', Verdict.NOT_RUN)
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -14,6 +14,7 @@
 from marigoldhoist.core.kernel import Kernel, load_components
 from marigoldhoist.core.settings import Settings
 from marigoldhoist.platform.attach import attach_platform
+from tools.platform_standins.http import StandInServer
 from tools.platform_standins.replica import StandInReplica
 from tools.platform_standins.store import (
     OPERATOR_TOPIC,
@@ -224,6 +225,21 @@
         await self.store.put(REPLICAS_TOPIC, name, entry)
         return replica
 
+    async def replace_replicas(
+        self, service: str, names: tuple[str, ...], server: StandInServer
+    ) -> None:
+        """Start a server and make it the replica in place of others."""
+        await server.start(HOST)
+        entry = self.replica_by_name[names[0]].entry(service)
+        entry['address'] = server.address
+        for name in names:
+            await self.store.put_raw(REPLICAS_TOPIC, name, b'')
+        await self.store.put(REPLICAS_TOPIC, 'replacement', entry)
+        directory = self.gateway.context.directory
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            while directory.replica_by_host.keys() & set(names):
+                await asyncio.sleep(0.01)
+
     async def call(self, path: str, **headers: str) -> CallerResponse:
         """Send one request and read the response to its end."""
         return await self.call_raw(encode_request(path, **headers))
--- a/tests/platform/test_late_copies.py
+++ b/tests/platform/test_late_copies.py
@@ -1,4 +1,4 @@
-"""Second copies of answers that come late, on a connection in use again."""
+"""Second copies of responses that come late, on a connection in use again."""
 
 import asyncio
 
@@ -11,7 +11,6 @@
     encode_response,
     read_request,
 )
-from tools.platform_standins.store import REPLICAS_TOPIC
 
 CALLS = 8
 
@@ -62,16 +61,7 @@
         async def scenario() -> tuple[list[CallerResponse], int]:
             async with running_gateway() as harness:
                 replica = RepeatingReplica(copies)
-                await replica.start('127.0.0.1')
-                entry = harness.replica_by_name['p1'].entry('plain')
-                entry['address'] = replica.address
-                for name in ('p1', 'p2'):
-                    await harness.store.put_raw(REPLICAS_TOPIC, name, b'')
-                await harness.store.put(REPLICAS_TOPIC, 'repeating', entry)
-                directory = harness.gateway.context.directory
-                async with asyncio.timeout(5):
-                    while directory.replica_by_host.keys() & {'p1', 'p2'}:
-                        await asyncio.sleep(0.01)
+                await harness.replace_replicas('plain', ('p1', 'p2'), replica)
                 responses = [await harness.call(path) for path in paths]
                 replica.stop()
                 return responses, replica.reused_connections
@@ -79,3 +69,78 @@
         responses, reused = asyncio.run(scenario())
         assert reused > 0
         assert [response.body.decode() for response in responses] == paths
+
+
+class RefusalRepeatingReplica(StandInServer):
+    """Refuses the first request of a connection and repeats the refusal.
+
+    Later requests run, and the copy of the refusal comes before their answers.
+    The copy has an id if `is_copy_named`.
+    """
+
+    def __init__(self, *, is_copy_named: bool) -> None:
+        super().__init__()
+        self._is_copy_named = is_copy_named
+        self.executed_ids: list[str] = []
+        self.connections = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the requests of one connection."""
+        self.connections += 1
+        refused = await read_request(reader)
+        if refused is None:
+            return
+        headers = {
+            'Request-Id': refused.headers['request-id'],
+            'Not-Executed': '1',
+            'Keep-Alive': 'timeout=10',
+        }
+        writer.write(encode_response(503, headers))
+        if not self._is_copy_named:
+            headers.pop('Request-Id')
+        request = await read_request(reader)
+        while request is not None:
+            self.executed_ids.append(request.headers['request-id'])
+            writer.write(encode_response(503, headers))
+            await asyncio.sleep(0.01)
+            writer.write(_answer(request))
+            request = await read_request(reader)
+
+
+@pytest.mark.parametrize('is_copy_named', (True, False))
+class TestRepeatedRefusal:
+    """A copy of an earlier refusal says nothing of a request that runs."""
+
+    def test_running_call_is_not_reported_as_not_run(
+        self, is_copy_named: bool
+    ) -> None:
+        responses, replica = self._call_twice('/unsafe/x', is_copy_named)
+        assert replica.connections == 1
+        status_when_unknown = 502
+        expected = 200 if is_copy_named else status_when_unknown
+        statuses = [response.status for response in responses]
+        assert statuses == [503, expected]
+
+    def test_call_that_is_sent_again_is_not_reported_as_not_run(
+        self, is_copy_named: bool
+    ) -> None:
+        responses, replica = self._call_twice('/safe/x', is_copy_named)
+        assert replica.executed_ids
+        assert 503 not in {response.status for response in responses}
+
+    def _call_twice(
+        self, path: str, is_copy_named: bool
+    ) -> tuple[list[CallerResponse], RefusalRepeatingReplica]:
+        async def scenario() -> tuple[
+            list[CallerResponse], RefusalRepeatingReplica
+        ]:
+            async with running_gateway() as harness:
+                replica = RefusalRepeatingReplica(is_copy_named=is_copy_named)
+                await harness.replace_replicas('plain', ('p1', 'p2'), replica)
+                responses = [await harness.call(path) for _ in range(2)]
+                replica.stop()
+                return responses, replica
+
+        return asyncio.run(scenario())
--- a/tools/platform_standins/replica.py
+++ b/tools/platform_standins/replica.py
@@ -158,12 +158,17 @@
         self.paths[request.path] += 1
         target = request.headers.get('target-instance', self.name)
         if target != self.name or fault is ReplicaFault.OTHER:
-            writer.write(encode_response(421, {'Instance-Id': 'another'}))
+            headers = {'Instance-Id': 'another', **_id_header(request)}
+            writer.write(encode_response(421, headers))
             return True
         if fault is ReplicaFault.SHED:
             self._note_rejection()
             await asyncio.sleep(self.shed_delay_s)
-            headers = {'Not-Executed': '1', **self._announcement_headers()}
+            headers = {
+                'Not-Executed': '1',
+                **_id_header(request),
+                **self._announcement_headers(),
+            }
             if self.retry_after_s is not None:
                 headers['Retry-After'] = str(self.retry_after_s)
             writer.write(encode_response(503, headers))
@@ -268,7 +273,7 @@
 
     def _headers(self, request: ReceivedRequest) -> dict[str, str]:
         return {
-            'Request-Id': request.headers['request-id'],
+            **_id_header(request),
             'Response-Seal': f'{SEAL}-{self.name}',
             'Server-Load': f'{self._running},0,{self.capacity or 8}',
             'Confidence': str(self.confidence),
@@ -287,6 +292,11 @@
         return headers
 
 
+def _id_header(request: ReceivedRequest) -> dict[str, str]:
+    """Return the header that names the request of a response."""
+    return {'Request-Id': request.headers['request-id']}
+
+
 def _ignore_crash(_cause: str) -> None:
     """Ignore a crash."""
 
