--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -226,16 +226,21 @@
         return replica
 
     async def replace_replicas(
-        self, service: str, names: tuple[str, ...], server: StandInServer
+        self, service: str, server: StandInServer
     ) -> None:
-        """Start a server and make it the replica in place of others."""
+        """Start a server and make it the only replica of a service."""
         await server.start(HOST)
+        directory = self.gateway.context.directory
+        names = [
+            replica.host
+            for replica in directory.replica_by_host.values()
+            if replica.entry.service == service
+        ]
         entry = self.replica_by_name[names[0]].entry(service)
-        entry['address'] = server.address
         for name in names:
             await self.store.put_raw(REPLICAS_TOPIC, name, b'')
+        entry['address'] = server.address
         await self.store.put(REPLICAS_TOPIC, 'replacement', entry)
-        directory = self.gateway.context.directory
         async with asyncio.timeout(TEST_TIMEOUT_S):
             while directory.replica_by_host.keys() & set(names):
                 await asyncio.sleep(0.01)
--- a/tests/platform/test_late_copies.py
+++ b/tests/platform/test_late_copies.py
@@ -61,7 +61,7 @@
         async def scenario() -> tuple[list[CallerResponse], int]:
             async with running_gateway() as harness:
                 replica = RepeatingReplica(copies)
-                await harness.replace_replicas('plain', ('p1', 'p2'), replica)
+                await harness.replace_replicas('plain', replica)
                 responses = [await harness.call(path) for path in paths]
                 replica.stop()
                 return responses, replica.reused_connections
@@ -138,7 +138,7 @@
         ]:
             async with running_gateway() as harness:
                 replica = RefusalRepeatingReplica(is_copy_named=is_copy_named)
-                await harness.replace_replicas('plain', ('p1', 'p2'), replica)
+                await harness.replace_replicas('plain', replica)
                 responses = [await harness.call(path) for _ in range(2)]
                 replica.stop()
                 return responses, replica
