--- a/marigoldhoist/components/upstreams/monitor.py
+++ b/marigoldhoist/components/upstreams/monitor.py
@@ -3,9 +3,9 @@
 import queue
 import threading
 
-import urllib3
 from result import Err
 
+from marigoldhoist.components.upstreams.connections import new_pool
 from marigoldhoist.components.upstreams.const import (
     MAX_POOLS,
     POLL_AFTER_USE_S,
@@ -41,7 +41,7 @@
         self._registry = registry
         self._ejections = ejections
         self._stopping = stopping
-        self._pool = urllib3.PoolManager(num_pools=MAX_POOLS, retries=False)
+        self._pool = new_pool(MAX_POOLS)
         self._probe_queue: queue.SimpleQueue[Replica] = queue.SimpleQueue()
         self._queued_hosts: set[str] = set()
 
--- a/marigoldhoist/components/upstreams/probes.py
+++ b/marigoldhoist/components/upstreams/probes.py
@@ -4,6 +4,7 @@
 import urllib3
 from result import Err, Ok, Result
 
+from marigoldhoist.components.upstreams.connections import new_pool
 from marigoldhoist.components.upstreams.const import (
     BYTES_PER_POLL,
     LOAD_PATH,
@@ -59,7 +60,7 @@
 
 def answers_on_new_connection(replica: Replica) -> bool:
     """Return whether the replica answers a load request on a new connection."""
-    with urllib3.PoolManager(num_pools=1, retries=False) as pool:
+    with new_pool(max_hosts=1) as pool:
         return isinstance(_request_load(pool, replica, PROBE_HEADERS), Ok)
 
 
--- a/marigoldhoist/components/upstreams/service.py
+++ b/marigoldhoist/components/upstreams/service.py
@@ -8,6 +8,7 @@
 
 from marigoldhoist.components.hosts.const import COMPONENT as HOSTS
 from marigoldhoist.components.hosts.service import HostService
+from marigoldhoist.components.upstreams.connections import new_pool
 from marigoldhoist.components.upstreams.const import (
     CANCEL_PATH,
     CONNECTIONS_PER_REPLICA,
@@ -37,11 +38,7 @@
         self._kernel = kernel
         self._settings = kernel.settings.section(UpstreamSettings)
         self._hosts = kernel.find(HOSTS, HostService)
-        self._pool = urllib3.PoolManager(
-            num_pools=MAX_POOLS,
-            maxsize=CONNECTIONS_PER_REPLICA,
-            retries=False,
-        )
+        self._pool = new_pool(MAX_POOLS, CONNECTIONS_PER_REPLICA)
         self._registry = ReplicaRegistry()
         self._ejections = EjectionTracker()
         self._monitor = ReplicaMonitor(
--- /dev/null
+++ b/tests/components/upstreams/test_connections.py
@@ -0,0 +1,52 @@
+"""Tests of responses whose connection ends within their head."""
+
+import socket
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import pytest
+import urllib3
+
+from marigoldhoist.components.upstreams.connections import new_pool
+
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n'
+RECEIVE_BYTES = 65_536
+
+
+@contextmanager
+def upstream_sending(response: bytes) -> Iterator[str]:
+    """Provide the URL of an upstream that sends a response and closes."""
+    with socket.create_server(('127.0.0.1', 0)) as server:
+
+        def serve() -> None:
+            connection, _ = server.accept()
+            with connection:
+                connection.recv(RECEIVE_BYTES)
+                connection.sendall(response)
+
+        serving = threading.Thread(target=serve)
+        serving.start()
+        yield f'http://127.0.0.1:{server.getsockname()[1]}/'
+        serving.join()
+
+
+def body_of(response: bytes) -> bytes:
+    """Return the body of a response as the pool reads it."""
+    with upstream_sending(response) as url, new_pool(max_hosts=1) as pool:
+        return pool.request('GET', url).data
+
+
+class TestTruncatedHead:
+    """A head without its end is no response."""
+
+    @pytest.mark.parametrize(
+        'head', (HEAD, b'%bContent-Le' % HEAD, HEAD[:-1], HEAD[:12])
+    )
+    def test_is_not_an_empty_success(self, head: bytes) -> None:
+        with pytest.raises(urllib3.exceptions.ProtocolError):
+            body_of(head)
+
+    def test_whole_head_is_read(self) -> None:
+        assert body_of(b'%b\r\nbody' % HEAD) == b'body'
+        assert not body_of(b'%bContent-Length: 0\r\n\r\n' % HEAD)
