Resume a stream with a stream only, in the table deployment

It could happen here: a stream that broke off was resumed with any answer below 500 that named the right token, so a rejection with a chunked body followed the events, and the stream ended whole.

Change: an answer that resumes a stream has to be a stream itself, with a status below 400. Otherwise the stream ends with its error event and without its end.

test_text_of_a_rejection_is_not_in_the_stream failed before: the caller's reader found no truncation.

--- a/marigoldhoist/components/dispatch/attempts.py
+++ b/marigoldhoist/components/dispatch/attempts.py
@@ -21,6 +21,7 @@
     Sender,
     deadline_failure,
     no_first_bytes_failure,
+    require_stream,
 )
 from marigoldhoist.components.dispatch.stages import StagedRequest
 from marigoldhoist.components.retries.const import COMPONENT as RETRIES
@@ -101,7 +102,7 @@
             replica = self._choose(spec, set())
         resumed = replica.and_then(
             lambda chosen: self._sender.send(spec, chosen)
-        )
+        ).and_then(require_stream)
         return resumed.ok_value if isinstance(resumed, Ok) else None
 
     def _choose(
--- a/marigoldhoist/components/dispatch/const.py
+++ b/marigoldhoist/components/dispatch/const.py
@@ -8,6 +8,7 @@
 MAX_ATTEMPTS: Final = 3
 # The table states prices as cost_per_1k_tokens.
 TOKENS_PER_PRICE_UNIT: Final = 1000
+HTTP_CLIENT_ERROR: Final = 400
 HTTP_SERVER_ERROR: Final = 500
 REQUEST_ID_HEADER: Final = 'X-Request-Id'
 DEADLINE_HEADER: Final = 'X-Deadline-Ms'
--- a/marigoldhoist/components/dispatch/sending.py
+++ b/marigoldhoist/components/dispatch/sending.py
@@ -7,6 +7,7 @@
 
 from marigoldhoist.components.dispatch.calls import serving_name, upstream_call
 from marigoldhoist.components.dispatch.const import (
+    HTTP_CLIENT_ERROR,
     HTTP_SERVER_ERROR,
     PRIORITY_NORMAL,
 )
@@ -103,6 +104,17 @@
     )
 
 
+def require_stream(answer: UpstreamResponse) -> AttemptResult:
+    """Return the answer if it can follow the events of a broken stream."""
+    if answer.status < HTTP_CLIENT_ERROR and answer.is_event_stream:
+        return Ok(answer)
+    message = f'{answer.replica.host}: answered {answer.status}, no stream'
+    answer.close()
+    return Err(
+        RequestFailure(ErrorCode.UPSTREAM_FAILED, message, Verdict.MAY_HAVE_RUN)
+    )
+
+
 def _validated(answer: UpstreamResponse, spec: AttemptSpec) -> AttemptResult:
     message = ''
     if answer.status >= HTTP_SERVER_ERROR:
--- a/tests/whole/test_upstream_faults.py
+++ b/tests/whole/test_upstream_faults.py
@@ -17,7 +17,7 @@
     COMPONENT as UPSTREAMS,
 )
 from marigoldhoist.components.upstreams.service import UpstreamService
-from tools.standins.engine import EngineFaults, EngineServer
+from tools.standins.engine import REJECTION, EngineFaults, EngineServer
 from tools.world.caller import Caller, CallerReply
 from tools.world.samples import WORKSPACE_KEY, make_table_change
 from tools.world.world import ENTRY_PORT, World, wait_until
@@ -131,6 +131,18 @@
         wait_until(lambda: len(bills(world)) == 1, 'one bill')
         assert (bills(world)[0].tokens, bills(world)[0].is_whole) == (4, False)
 
+    def test_text_of_a_rejection_is_not_in_the_stream(
+        self,
+        world: World,
+        local_engine: EngineServer,
+        remote_engine: EngineServer,
+    ) -> None:
+        local_engine.faults = EngineFaults(cut_after_tokens=4)
+        remote_engine.faults = EngineFaults(is_resume_rejected=True)
+        body = truncated_chat(world)
+        assert word_numbers(body) == list(range(4))
+        assert REJECTION not in body
+
     def test_not_resumed_on_a_withdrawn_version(
         self,
         world: World,
--- a/tools/standins/engine.py
+++ b/tools/standins/engine.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, Final
 
 import msgspec
 
@@ -17,6 +17,10 @@
 MAX_SILENCE_S = 3600
 
 
+# Body of the response to a stream that the engine does not resume.
+REJECTION: Final = b'too many requests'
+
+
 class EngineFaults(msgspec.Struct):
     """Injected faults; zero and false mean none.
 
@@ -31,6 +35,7 @@
     is_fencing_ignored: bool = False
     is_leaving: bool = False
     is_resume_ignored: bool = False
+    is_resume_rejected: bool = False
     late_first_token_s: float = 0
     load_lag_s: float = 0
     doubt_by_serving: dict[str, float] = {}
@@ -133,6 +138,9 @@
         resume_from = 0
         if not self.faults.is_resume_ignored:
             resume_from = int(request.headers.get('x-resume-from', 0))
+        if resume_from and self.faults.is_resume_rejected:
+            headers = self._stream_headers(resume_from)
+            return WebReply(iter((REJECTION,)), 429, 'text/plain', headers)
         served = ServedRequest(
             time_s=time.time(),
             request_id=request_id,
