Run the upgrade tests against the last landing

The evidence that daemons share has new fields since then, so the tests have to mix that release with this one.

--- a/tools/soak/releases.py
+++ b/tools/soak/releases.py
@@ -9,7 +9,7 @@
 ROOT: Final = pathlib.Path(__file__).resolve().parents[2]
 RELEASES: Final = ROOT / 'target' / 'releases'
 # The last landing, which an upgrade begins with.
-LAST_LANDING: Final = '346d2867466613e4faed3d3ae439c4683c918710'
+LAST_LANDING: Final = 'c6bf1603f4bbe605d5b981cd6ea6ed51f061cc4f'
 REQUIREMENTS: Final = 'requirements/platform.txt'
 
 
