--- a/tests/components/canary/test_regression.py
+++ b/tests/components/canary/test_regression.py
@@ -136,6 +136,14 @@
     return None
 
 
+def require_found_early(found: list[int | None]) -> None:
+    """Check the bad answers until each version was found, None if it was not."""
+    bad_answers = [count or ROLL_OUT_ANSWERS for count in found]
+    late = sum(count > MAX_BAD_ANSWERS for count in bad_answers)
+    assert statistics.median(bad_answers) <= MAX_MEDIAN_BAD_ANSWERS
+    assert late <= MAX_FOUND_LATE_RATE * len(bad_answers)
+
+
 class TestSlowVersion:
     """A version is found slow by what its share of slow answers proves."""
 
@@ -173,10 +181,7 @@
             slow_answers_until_found(seed, slow_share, baseline_share)
             for seed in BAD_SEEDS
         ]
-        slow = [count or ROLL_OUT_ANSWERS for count in found]
-        late = sum(count > MAX_BAD_ANSWERS for count in slow)
-        assert statistics.median(slow) <= MAX_MEDIAN_BAD_ANSWERS
-        assert late <= MAX_FOUND_LATE_RATE * len(BAD_SEEDS)
+        require_found_early(found)
 
 
 class TestErrorRates:
@@ -212,7 +217,4 @@
             bad_answers_until_found(seed, rates, bad_route)
             for seed in BAD_SEEDS
         ]
-        bad_answers = [count or ROLL_OUT_ANSWERS for count in found]
-        late = sum(count > MAX_BAD_ANSWERS for count in bad_answers)
-        assert statistics.median(bad_answers) <= MAX_MEDIAN_BAD_ANSWERS
-        assert late <= MAX_FOUND_LATE_RATE * len(BAD_SEEDS)
+        require_found_early(found)
