--- a/tests/components/canary/test_regression.py
+++ b/tests/components/canary/test_regression.py
@@ -137,7 +137,7 @@
 
 
 def require_found_early(found: list[int | None]) -> None:
-    """Check the bad answers until each version was found, None if it was not."""
+    """Check after how many bad answers each version was found, if it was."""
     bad_answers = [count or ROLL_OUT_ANSWERS for count in found]
     late = sum(count > MAX_BAD_ANSWERS for count in bad_answers)
     assert statistics.median(bad_answers) <= MAX_MEDIAN_BAD_ANSWERS
