Reject an unusable answer of an upstream in one place

The check that a resumed stream is a stream repeated how a validated answer is closed and turned into a failure. Same behaviour; a docstring is filled to the line length.

--- a/marigoldhoist/components/canary/traffic_split.py
+++ b/marigoldhoist/components/canary/traffic_split.py
@@ -82,10 +82,9 @@
 
     A roll-out has a canary phase with a constant share of sessions, a linear
     ramp to all sessions but those of the control group, and a rest until the
-    deadline. Times are fractions of
-    the allowed time. A version may be bad only under a load that does not occur
-    in the canary phase, so the ramp is as late as the exposure budget
-    `canary_share` requires.
+    deadline. Times are fractions of the allowed time. A version may be bad only
+    under a load that does not occur in the canary phase, so the ramp is as late
+    as the exposure budget `canary_share` requires.
     """
 
     canary_share: float
--- a/marigoldhoist/components/dispatch/sending.py
+++ b/marigoldhoist/components/dispatch/sending.py
@@ -108,10 +108,8 @@
     """Return the answer if it can follow the events of a broken stream."""
     if answer.status < HTTP_CLIENT_ERROR and answer.is_event_stream:
         return Ok(answer)
-    message = f'{answer.replica.host}: answered {answer.status}, no stream'
-    answer.close()
-    return Err(
-        RequestFailure(ErrorCode.UPSTREAM_FAILED, message, Verdict.MAY_HAVE_RUN)
+    return _rejected(
+        answer, f'{answer.replica.host}: answered {answer.status}, no stream'
     )
 
 
@@ -121,8 +119,11 @@
         message = f'upstream answered {answer.status}'
     elif answer.resumed_from != spec.resume_from:
         message = 'upstream cannot resume'
-    if not message:
-        return Ok(answer)
+    return _rejected(answer, message) if message else Ok(answer)
+
+
+def _rejected(answer: UpstreamResponse, message: str) -> AttemptResult:
+    """Close an answer that is not used and return its failure."""
     answer.close()
     return Err(
         RequestFailure(ErrorCode.UPSTREAM_FAILED, message, Verdict.MAY_HAVE_RUN)
