Log recent failures of the old version and failures after completion

The lines of a roll-out had the failures of both versions as one ratio, so that they could not tell an excuse by old failures of the baseline from one by old answers of the new version.

--- a/marigoldhoist/components/canary/analysis.py
+++ b/marigoldhoist/components/canary/analysis.py
@@ -14,6 +14,7 @@
     TimeSample,
     VersionComparison,
 )
+from marigoldhoist.components.canary.completed_versions import CompletedVersions
 from marigoldhoist.components.canary.const import MAX_SHARED_SESSIONS
 from marigoldhoist.components.canary.events import (
     EVIDENCE_PASSED_OVER,
@@ -25,7 +26,7 @@
     SampleGroup,
     pool_evidence,
 )
-from marigoldhoist.components.canary.models import RollOut
+from marigoldhoist.components.canary.models import RollOut, RollOutState
 from marigoldhoist.components.canary.regression import regression_reason
 from marigoldhoist.components.mirrors.findings import FindingExchange
 from marigoldhoist.core.clock import SYSTEM_CLOCK, SystemClock
@@ -191,6 +192,7 @@
             str, VersionComparison
         ] = collections.defaultdict(lambda: VersionComparison(clock.boottime_s))
         self._analysis_by_service: dict[str, _RollOutAnalysis] = {}
+        self._completed_versions = CompletedVersions(clock.boottime_s)
         findings.add_listener(self._on_new_finding)
 
     def begin(self, roll_out: RollOut) -> None:
@@ -226,7 +228,13 @@
         """Record an answer; evaluate the version if it is the target."""
         self._comparison_by_service[service].record(version, answer)
         analysis = self._analysis_by_service.get(service)
-        if analysis is not None and analysis.roll_out.order.target == version:
+        if analysis is None or analysis.roll_out.order.target != version:
+            return
+        if analysis.roll_out.state is RollOutState.COMPLETED:
+            self._completed_versions.record(
+                analysis.roll_out.order, is_failure=answer.is_failure
+            )
+        else:
             analysis.evaluate()
 
     def _on_new_finding(self, subject: str) -> None:
--- a/marigoldhoist/components/canary/clearance.py
+++ b/marigoldhoist/components/canary/clearance.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import functools
 import math
 from collections.abc import Iterable, Iterator
 from typing import Final
@@ -16,6 +17,7 @@
     Evidence,
     GroupCounts,
     Measure,
+    RecentCounts,
 )
 from marigoldhoist.components.canary.likelihood import (
     Outcomes,
@@ -70,14 +72,15 @@
 class Assessment:
     """Log likelihood ratios of a fault, by what was compared.
 
-    `answers` are the recent answers of the new version. `failures_by_route` has
+    `recent` are the recent answers of both versions, `baseline_answers` and
+    `baseline_failures` all remembered ones. `failures_by_route` has
     no routes that can show little; `failures` and `slowness` are the ratios of
     all answers. `latencies` are the answers whose latencies were compared.
     """
 
-    answers: int
+    recent: RecentCounts
     baseline_answers: int
-    recent_baseline_answers: int
+    baseline_failures: int
     failures: float
     failures_by_route: dict[str, float]
     slowness: float
@@ -86,7 +89,7 @@
     @property
     def is_idle(self) -> bool:
         """Return whether the service had no answers from any version."""
-        return not self.answers and not self.baseline_answers
+        return not self.recent.answers and not self.baseline_answers
 
     def allows(self, clearance: Clearance) -> bool:
         """Return whether every ratio is low enough."""
@@ -107,9 +110,12 @@
     def log_fields(self) -> dict[str, object]:
         """Return log fields with the inputs and the ratios."""
         return {
-            'answers': self.answers,
+            'answers': self.recent.answers,
+            'failures': self.recent.failures,
             'baseline_answers': self.baseline_answers,
-            'recent_baseline_answers': self.recent_baseline_answers,
+            'baseline_failures': self.baseline_failures,
+            'recent_baseline_answers': self.recent.baseline_answers,
+            'recent_baseline_failures': self.recent.baseline_failures,
             'failure_ratio': round(self.failures, 2),
             'failure_ratio_by_route': {
                 route: round(ratio, 2)
@@ -137,11 +143,13 @@
         if counts.recent.slow
     )
     return Assessment(
-        answers=sum(counts.recent.answers for counts in starts),
-        baseline_answers=sum(counts.baseline_answers for counts in starts),
-        recent_baseline_answers=sum(
-            counts.recent.baseline_answers for counts in starts
+        recent=functools.reduce(
+            RecentCounts.plus,
+            (counts.recent for counts in starts),
+            RecentCounts(0, 0, 0),
         ),
+        baseline_answers=sum(counts.baseline_answers for counts in starts),
+        baseline_failures=sum(counts.baseline_failures for counts in starts),
         failures=sum(
             outcomes.log_likelihood_ratio
             for outcomes in outcomes_by_route.values()
--- a/marigoldhoist/components/canary/comparison.py
+++ b/marigoldhoist/components/canary/comparison.py
@@ -232,12 +232,16 @@
         failures = own.recent_failures(since_s)
         slow = own.recent_slow(since_s)
         recent_ages_s = (age for age in slow_ages_s if age <= self._recent_s)
+        baseline_failures = list(
+            itertools.chain.from_iterable(
+                history.recent_failures(since_s) for history in baseline
+            )
+        )
         return RecentCounts(
             answers=len(failures),
             failures=sum(failures),
-            baseline_answers=sum(
-                len(history.recent_failures(since_s)) for history in baseline
-            ),
+            baseline_answers=len(baseline_failures),
+            baseline_failures=sum(baseline_failures),
             compared=len(slow),
             slow=sum(slow),
             oldest_slow_age_s=max(recent_ages_s, default=0),
--- a/marigoldhoist/components/canary/events.py
+++ b/marigoldhoist/components/canary/events.py
@@ -115,3 +115,10 @@
     'A roll-out is due to be completed, but the evidence does not speak for '
     'the new version yet; the old replicas stay.',
 )
+COMPLETED_VERSION_FAILS = declare_event(
+    3718,
+    'completed_version_fails',
+    'warning',
+    'Answers of a version that was completed a short time ago failed at this '
+    'daemon; the roll-out cannot be undone.',
+)
--- a/marigoldhoist/components/canary/evidence.py
+++ b/marigoldhoist/components/canary/evidence.py
@@ -53,7 +53,7 @@
 
 
 class RecentCounts(msgspec.Struct, frozen=True, array_like=True):
-    """Recent answers and failures of a version, answers of its baseline.
+    """Recent answers and failures of a version and of its baseline.
 
     `compared` is the number of recent answers whose latency was compared;
     `slow` of these took much longer, the oldest `oldest_slow_age_s` ago.
@@ -65,6 +65,7 @@
     compared: int = 0
     slow: int = 0
     oldest_slow_age_s: float = 0
+    baseline_failures: int = 0
 
     def plus(self, other: 'RecentCounts') -> 'RecentCounts':
         """Return the sums of the counts of two daemons."""
@@ -75,6 +76,7 @@
             self.compared + other.compared,
             self.slow + other.slow,
             max(self.oldest_slow_age_s, other.oldest_slow_age_s),
+            self.baseline_failures + other.baseline_failures,
         )
 
 
--- a/tests/test_log_lines.py
+++ b/tests/test_log_lines.py
@@ -13,6 +13,9 @@
 EVIDENCE: Final = frozenset(
     ('answers', 'baseline_answers', 'recent_baseline_answers')
 ) | {
+    'failures',
+    'baseline_failures',
+    'recent_baseline_failures',
     'failure_ratio',
     'slow_ratio',
     'compared',
@@ -72,6 +75,8 @@
     'RAMP_UP_HELD': {'service', 'target', 'progress'} | EVIDENCE,
     'VERSION_CONFIRMED': {'service', 'target', 'progress'} | EVIDENCE,
     'COMPLETION_HELD': {'service', 'target', 'progress'} | EVIDENCE,
+    'COMPLETED_VERSION_FAILS': {'service', 'version', 'answers', 'failures'}
+    | {'interval_s'},
     'STATUS_NOT_WRITTEN': {'service', 'target', 'state', 'expected_end'}
     | {'reason'},
     'STORE_LOST': {'topic', 'reason', 'age_s'},
