Compare failures of a new version with what the baseline does then

Cause: failures of the new version were compared with all remembered answers of the old one, most of them from the canary phase. All replicas had failed three requests of ten until 46 s. From then on the old version was sound, yet its earlier failures still made such a rate usual, so that 16 failures of the new version in 2.5 s spoke for it. The other way round, failures that begin late in all versions made a good version look bad against a healthy past.

Ruled out by the log: an older answer of the new version that clears it; it had failed 5 of 12 on that route in the canary phase.

Fix: answers are counted in strata of two seconds, and each stratum of the new version is compared with the baseline in it. A stratum has few answers of the baseline, so its rate is either the usual one or any other, weighted by what the baseline shows on all routes then.

Evidence of an earlier release has no strata: its recent answers count with its whole baseline, as before.

--- a/marigoldhoist/components/canary/analysis.py
+++ b/marigoldhoist/components/canary/analysis.py
@@ -96,7 +96,9 @@
         """Reject the target version if the evidence shows a regression."""
         if self.roll_out.state.is_final or self.roll_out.is_rejected:
             return
-        reason = regression_reason(self.pooled_evidence())
+        reason = regression_reason(
+            self.pooled_evidence(), self.roll_out.order.recent_s
+        )
         if reason and not self.roll_out.is_rejected:
             self.roll_out.is_rejected = True
             self._log_found_bad(reason)
@@ -127,6 +129,10 @@
         self._peer_evidence = pool_evidence(
             peer.evidence.evidence for peer in peers
         )
+        if any(counts.failures for counts in self._peer_evidence):
+            self._peer_evidence = [
+                counts.with_pooled_series() for counts in self._peer_evidence
+            ]
         self._comparison.peer_samples_by_group = _samples_by_group(peers)
 
     def _decode_peer_evidence(self) -> Iterator[_PeerEvidence]:
@@ -153,8 +159,10 @@
             if peer.is_rejected and self.roll_out.adopt_rejection():
                 self._log_found_bad('another daemon found it bad')
             is_recent = finding.created_s >= recent_since_s
+            known = peer.older(self._clock.boottime_s() - finding.created_s)
             yield _PeerEvidence(
-                peer if is_recent else peer.without_recent(), finding.created_s
+                known if is_recent else known.without_recent(),
+                finding.created_s,
             )
 
 
@@ -217,7 +225,11 @@
     def assess(self, service: str) -> Assessment:
         """Return what the evidence says of a service's target version."""
         analysis = self._analysis_by_service.get(service)
-        return assess(analysis.pooled_evidence() if analysis else [])
+        if analysis is None:
+            return assess([])
+        return assess(
+            analysis.pooled_evidence(), analysis.roll_out.order.recent_s
+        )
 
     def is_session_active(self, service: str, position: float) -> bool:
         """Return whether any daemon had the session on another version."""
--- a/marigoldhoist/components/canary/clearance.py
+++ b/marigoldhoist/components/canary/clearance.py
@@ -13,19 +13,21 @@
 from collections.abc import Iterable, Iterator
 from typing import Final
 
+from marigoldhoist.components.canary.const import MIN_RECENT_S
 from marigoldhoist.components.canary.evidence import (
     Evidence,
     GroupCounts,
     Measure,
     RecentCounts,
 )
+from marigoldhoist.components.canary.failure_ratio import (
+    failures_by_route,
+)
 from marigoldhoist.components.canary.likelihood import (
     Outcomes,
     by_route,
-    failures_by_route,
     grouped,
     measure_name,
-    recent_failures,
     slow_answers,
 )
 
@@ -74,8 +76,8 @@
 
     `recent` are the recent answers of both versions, `baseline_answers` and
     `baseline_failures` all remembered ones. `failures_by_route` has
-    no routes that can show little; `failures` and `slowness` are the ratios of
-    all answers. `latencies` are the answers whose latencies were compared.
+    no routes that can show little; `failures` and `slowness` are the ratios of all answers. `latencies` are the answers
+    whose latencies were compared.
     """
 
     recent: RecentCounts
@@ -95,16 +97,12 @@
         """Return whether every ratio is low enough."""
         if self.is_idle:
             return True
-        route_limit = math.log(clearance.route)
         # Without slow answers there may have been few to compare.
         is_slow = self.latencies.slow and self.slowness > clearance.log_slowness
         return (
             not is_slow
             and self.failures <= math.log(clearance.service)
-            and all(
-                ratio <= route_limit
-                for ratio in self.failures_by_route.values()
-            )
+            and _are_all_below(self.failures_by_route, clearance.route)
         )
 
     def log_fields(self) -> dict[str, object]:
@@ -129,13 +127,20 @@
         }
 
 
-def assess(evidence: Evidence) -> Assessment:
-    """Return the assessment of the pooled evidence of all daemons."""
+def _are_all_below(ratio_by_route: dict[str, float], limit: float) -> bool:
+    return all(ratio <= math.log(limit) for ratio in ratio_by_route.values())
+
+
+def assess(evidence: Evidence, recent_s: float = MIN_RECENT_S) -> Assessment:
+    """Return the assessment of the pooled evidence of all daemons.
+
+    Answers of the last `recent_s` seconds are recent.
+    """
     starts = [
         counts for counts in evidence if counts.group.measure is Measure.START
     ]
     rare = _rare_routes(starts)
-    outcomes_by_route = failures_by_route(starts, recent_failures)
+    outcomes_by_route = failures_by_route(starts, recent_s)
     slow_outcomes = list(_slow_outcomes(evidence))
     recent_slow_outcomes = _slow_outcomes(
         counts.with_recent_latencies()
--- a/marigoldhoist/components/canary/comparison.py
+++ b/marigoldhoist/components/canary/comparison.py
@@ -24,6 +24,12 @@
     RecentCounts,
     SampleGroup,
 )
+from marigoldhoist.components.canary.strata import (
+    FailureHistory,
+    StratumSeries,
+    span_age_s,
+    span_number,
+)
 
 # Number of newest answers kept for each version and sample group.
 MAX_REMEMBERED_ANSWERS: Final = 60
@@ -76,6 +82,7 @@
     """The newest answers of one version in one sample group."""
 
     def __init__(self) -> None:
+        self.by_time = FailureHistory()
         self.failures: collections.deque[bool] = collections.deque(
             maxlen=MAX_REMEMBERED_ANSWERS
         )
@@ -99,6 +106,7 @@
         """Record whether an answer was a failure."""
         self.failures.append(is_failure)
         self.recorded_s.append(now_s)
+        self.by_time.record(is_failure, now_s)
 
     def recent_failures(self, since_s: float) -> list[bool]:
         """Return whether each answer since a boot time was a failure."""
@@ -142,6 +150,7 @@
             lambda: collections.defaultdict(_SampleHistory)
         )
         self._recent_s = MIN_RECENT_S
+        self._first_span = 0
         self.target = ''
         # Baseline samples of other daemons.
         self.peer_samples_by_group: Mapping[SampleGroup, list[TimeSample]] = {}
@@ -154,6 +163,7 @@
         self._recent_s = recent_s
         self._history_by_version.pop(target, None)
         self.peer_samples_by_group = {}
+        self._first_span = span_number(self._clock())
         self.target = target
 
     def record(self, version: str, answer: AnswerSample) -> None:
@@ -220,6 +230,25 @@
             oldest_slow_age_s=max(ages, default=0),
             newest_slow_age_s=min(ages, default=math.inf),
             recent=self._recent_counts(own, baseline, ages),
+            series=[self._series(own, baseline)]
+            if group.measure is Measure.START
+            else [],
+        )
+
+    def _series(
+        self, own: _SampleHistory, baseline: list[_SampleHistory]
+    ) -> StratumSeries:
+        """Return the strata since the order, in pairs of the two sides."""
+        now_s = self._clock()
+        newest = span_number(now_s)
+        strata = itertools.chain(
+            own.by_time.as_target(newest),
+            *(history.by_time.as_baseline(newest) for history in baseline),
+        )
+        since_order = newest - self._first_span
+        return StratumSeries(
+            span_age_s(newest, now_s),
+            [stratum for stratum in strata if stratum.steps <= since_order],
         )
 
     def _recent_counts(
--- a/marigoldhoist/components/canary/evidence.py
+++ b/marigoldhoist/components/canary/evidence.py
@@ -11,6 +11,13 @@
 
 import msgspec
 
+from marigoldhoist.components.canary.strata import (
+    MAX_STRATA,
+    Stratum,
+    StratumSeries,
+    pooled,
+)
+
 # Pseudo-count added to the baseline's failures, so that a baseline without any
 # failure does not give a rate of zero.
 PRIOR_FAILURES: Final = 0.5
@@ -88,7 +95,8 @@
     median; `slow` of these took much longer. The counts of the baseline's own
     answers are analogous. `oldest_slow_age_s` and `newest_slow_age_s` are the
     ages of the new version's oldest and newest slow answer. `recent` are
-    the counts of the time in which answers can clear the new version.
+    the counts of the time in which answers can clear the new version. `series`
+    are the answers of both sides by time, one of each daemon.
     """
 
     group: SampleGroup
@@ -103,6 +111,7 @@
     oldest_slow_age_s: float
     newest_slow_age_s: float
     recent: RecentCounts
+    series: list[StratumSeries] = []
 
     def add(self, other: 'GroupCounts') -> None:
         """Add another daemon's counts of the same group."""
@@ -115,6 +124,7 @@
         self.baseline_compared += other.baseline_compared
         self.baseline_slow += other.baseline_slow
         self.recent = self.recent.plus(other.recent)
+        self.series.extend(other.series)
         self.oldest_slow_age_s = max(
             self.oldest_slow_age_s, other.oldest_slow_age_s
         )
@@ -122,6 +132,42 @@
             self.newest_slow_age_s, other.newest_slow_age_s
         )
 
+    def older(self, age_s: float) -> 'GroupCounts':
+        """Return the counts with the series as they are that much later."""
+        return msgspec.structs.replace(
+            self, series=[series.older(age_s) for series in self.all_series]
+        )
+
+    def with_pooled_series(self) -> 'GroupCounts':
+        """Return the counts with the sum of all series."""
+        summed = StratumSeries(0, list(pooled(self.series)))
+        return msgspec.structs.replace(self, series=[summed])
+
+    @property
+    def all_series(self) -> list[StratumSeries]:
+        """Return the answers by time.
+
+        Without series, as from an earlier release, the recent answers form one
+        with the whole baseline.
+        """
+        if self.series:
+            return self.series
+        recent = Stratum(
+            0,
+            self.recent.answers,
+            self.recent.failures,
+            self.baseline_answers,
+            self.baseline_failures,
+        )
+        earlier = Stratum(
+            MAX_STRATA,
+            self.answers - recent.answers,
+            self.failures - recent.failures,
+            self.baseline_answers,
+            self.baseline_failures,
+        )
+        return [StratumSeries(0, [recent, earlier])]
+
     @property
     def is_slow_persistently(self) -> bool:
         """Return whether the slow answers are spread over time."""
@@ -181,6 +227,11 @@
     confirmed_for_s: float = -math.inf
     baseline_samples: list[BaselineSamples] = []
 
+    def older(self, age_s: float) -> 'DaemonEvidence':
+        """Return the evidence as it is that much later."""
+        evidence = [counts.older(age_s) for counts in self.evidence]
+        return msgspec.structs.replace(self, evidence=evidence)
+
     def without_recent(self) -> 'DaemonEvidence':
         """Return the evidence with no answers that count as recent."""
         evidence = [
@@ -197,7 +248,9 @@
         for counts in evidence:
             known = pooled_by_group.get(counts.group)
             if known is None:
-                pooled_by_group[counts.group] = msgspec.structs.replace(counts)
+                pooled_by_group[counts.group] = msgspec.structs.replace(
+                    counts, series=list(counts.series)
+                )
             else:
                 known.add(counts)
     return list(pooled_by_group.values())
--- a/marigoldhoist/components/canary/likelihood.py
+++ b/marigoldhoist/components/canary/likelihood.py
@@ -2,7 +2,7 @@
 
 Two hypotheses are compared by their likelihood ratio: that a share of the new
 version's answers has a fault, and that it behaves like the baseline, the other
-versions at the same time. While the version is healthy, the ratio ever exceeds
+versions. While the version is healthy, the ratio ever exceeds
 a limit with a probability of at most one divided by the limit (Ville, 1939), so
 it can be looked at after each answer.
 """
@@ -15,7 +15,6 @@
 
 from marigoldhoist.components.canary.evidence import (
     PRIOR_ANSWERS,
-    PRIOR_FAILURES,
     PRIOR_SLOW_ANSWERS,
     Evidence,
     GroupCounts,
@@ -83,47 +82,6 @@
     return counts.group.measure.value
 
 
-def all_failures(counts: GroupCounts) -> tuple[int, int]:
-    """Return the failures and all answers of the new version."""
-    return counts.failures, counts.answers
-
-
-def recent_failures(counts: GroupCounts) -> tuple[int, int]:
-    """Return the failures and all answers among its recent answers."""
-    return counts.recent.failures, counts.recent.answers
-
-
-def failures_by_route(
-    starts: Evidence, count: Callable[[GroupCounts], tuple[int, int]]
-) -> dict[str, Outcomes]:
-    """Return the failures of each route, as counted for the new version.
-
-    A route that the baseline has no answers on is compared with all routes.
-    """
-    return {
-        route: Outcomes(
-            sum(count(counts)[0] for counts in group),
-            sum(count(counts)[1] for counts in group),
-            *_baseline_failures(group if _has_baseline(group) else starts),
-            PRIOR_FAILURES,
-            1,
-        )
-        for route, group in by_route(starts)
-    }
-
-
-def _has_baseline(group: Evidence) -> bool:
-    return any(counts.baseline_answers for counts in group)
-
-
-def _baseline_failures(group: Evidence) -> tuple[int, int]:
-    """Return the failures and all answers of the baseline."""
-    return (
-        sum(counts.baseline_failures for counts in group),
-        sum(counts.baseline_answers for counts in group),
-    )
-
-
 def slow_answers(group: Iterable[GroupCounts]) -> Outcomes:
     """Return the slow answers among the compared ones."""
     counts = list(group)
--- a/marigoldhoist/components/canary/regression.py
+++ b/marigoldhoist/components/canary/regression.py
@@ -7,11 +7,12 @@
 """
 
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Final
 
 import msgspec
 
+from marigoldhoist.components.canary.const import MIN_RECENT_S
 from marigoldhoist.components.canary.evidence import (
     Evidence,
     GroupCounts,
@@ -19,10 +20,11 @@
     SampleGroup,
     pool_evidence,
 )
-from marigoldhoist.components.canary.likelihood import (
-    all_failures,
+from marigoldhoist.components.canary.failure_ratio import (
+    FailureOutcomes,
     failures_by_route,
-    recent_failures,
+)
+from marigoldhoist.components.canary.likelihood import (
     slow_answers,
 )
 
@@ -39,29 +41,33 @@
 MIN_SLOW_IN_GROUP: Final = 5
 
 
-def regression_reason(evidence: Evidence) -> str:
-    """Return why a version is bad, or an empty string if it is not."""
-    return next(_regression_reasons(evidence), '')
+def regression_reason(
+    evidence: Evidence, recent_s: float = MIN_RECENT_S
+) -> str:
+    """Return why a version is bad, or an empty string if it is not.
 
+    Answers of the last `recent_s` seconds are recent.
+    """
+    return next(_regression_reasons(evidence, recent_s), '')
 
-def _regression_reasons(evidence: Evidence) -> Iterator[str]:
+
+def _regression_reasons(evidence: Evidence, recent_s: float) -> Iterator[str]:
     starts = [
         counts for counts in evidence if counts.group.measure is Measure.START
     ]
-    yield from _failure_reasons(starts, all_failures, MIN_LOG_RATIO)
-    yield from _failure_reasons(starts, recent_failures, MIN_RECENT_LOG_RATIO)
+    yield from _failure_reasons(failures_by_route(starts), MIN_LOG_RATIO)
+    yield from _failure_reasons(
+        failures_by_route(starts, recent_s), MIN_RECENT_LOG_RATIO
+    )
     yield from _slow_reasons(evidence, MIN_SLOW_LOG_RATIO)
     recent = [counts.with_recent_latencies() for counts in evidence]
     yield from _slow_reasons(recent, MIN_RECENT_LOG_RATIO)
 
 
 def _failure_reasons(
-    starts: Evidence,
-    count: Callable[[GroupCounts], tuple[int, int]],
-    min_log_ratio: float,
+    outcomes_by_route: dict[str, FailureOutcomes], min_log_ratio: float
 ) -> Iterator[str]:
     """Yield texts for all answers and for each route that are too bad."""
-    outcomes_by_route = failures_by_route(starts, count)
     log_ratio = sum(
         outcomes.log_likelihood_ratio for outcomes in outcomes_by_route.values()
     )
--- a/tests/components/canary/roll_out_model.py
+++ b/tests/components/canary/roll_out_model.py
@@ -46,14 +46,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fault:
-    """A share of the new version's answers is slow, some time after the order.
+    """What is wrong with the new version, and with all versions.
 
-    One route may fail in every version, so that nothing can be seen there.
+    A share of the new version's answers is slow some time after the order, or
+    a share of those on one route fails. One route may fail in every version,
+    and a share of all answers between two times after the order.
     """
 
     slow_share: float = 0
     slow_after_s: float = 0
     failing_route: int | None = None
+    failure_share: float = 0
+    bad_route: int = 0
+    common_failure_share: float = 0
+    common_failures_s: tuple[float, float] = (0, 0)
 
 
 class _Daemon:
@@ -82,8 +88,9 @@
 class RollOutModel:
     """Plays one roll-out until it is decided or given up.
 
-    `bad_times_s` are the times after the order of the slow answers of the new
-    version, `completed_s` and `found_s` those of the outcome.
+    `bad_times_s` are the times after the order of the slow answers and of the
+    failures of the new version alone, `completed_s` and `found_s` those of the
+    outcome.
     """
 
     def __init__(self, seed: int, fault: Fault) -> None:
@@ -133,24 +140,40 @@
     def _call(self, daemon: _Daemon) -> None:
         is_new = self._age_s > 0 and self._gets_new(daemon.roll_out)
         route = self._rng.choices(range(len(ROUTE_WEIGHTS)), ROUTE_WEIGHTS)[0]
-        is_slow = (
-            is_new
-            and self._age_s >= self._fault.slow_after_s
-            and self._rng.random() < self._fault.slow_share
-        )
-        if is_slow:
+        is_slow = is_new and self._is_slow()
+        is_bad = is_new and self._is_bad(route)
+        if is_slow or is_bad:
             self.bad_times_s.append(self._age_s)
         time_s = self._rng.lognormvariate(0, TIME_DEVIATION)
         daemon.analysis.record(
             SERVICE,
             NEW if is_new else OLD,
             AnswerSample(
-                route == self._fault.failing_route,
+                is_bad or self._fails_in_all_versions(route),
                 time_s * SLOW_FACTOR if is_slow else time_s,
                 f'r{route}/',
             ),
         )
 
+    def _is_slow(self) -> bool:
+        return (
+            self._age_s >= self._fault.slow_after_s
+            and self._rng.random() < self._fault.slow_share
+        )
+
+    def _is_bad(self, route: int) -> bool:
+        return (
+            route == self._fault.bad_route
+            and self._rng.random() < self._fault.failure_share
+        )
+
+    def _fails_in_all_versions(self, route: int) -> bool:
+        begin_s, end_s = self._fault.common_failures_s
+        return route == self._fault.failing_route or (
+            begin_s <= self._age_s < end_s
+            and self._rng.random() < self._fault.common_failure_share
+        )
+
     def _gets_new(self, roll_out: RollOut) -> bool:
         now_s = self._clock.now_s
         return not roll_out.is_rejected and SCHEDULE.is_on_target(
--- a/tests/components/canary/test_roll_out_model.py
+++ b/tests/components/canary/test_roll_out_model.py
@@ -1,5 +1,7 @@
 """Outcomes of roll-outs that are decided by the evidence of nine daemons."""
 
+import dataclasses
+
 import pytest
 
 from tests.components.canary.roll_out_model import (
@@ -20,6 +22,11 @@
     'beside-a-failing-route': Fault(slow_share=0.5, failing_route=0),
     'just-after-the-ramp': Fault(slow_share=0.5, slow_after_s=15.8),
 }
+# All versions fail part of their calls until the time allowed is over.
+COMMON_FAILURES = tuple(
+    Fault(common_failure_share=share, common_failures_s=(0, 16))
+    for share in (0.2, 0.4)
+)
 
 
 def played(seed: int, fault: Fault) -> RollOutModel:
@@ -50,6 +57,24 @@
         assert not any(is_exposed(model) for model in models)
 
 
+class TestFailingBaseline:
+    """Failures of all versions say nothing about those that come later."""
+
+    @pytest.mark.parametrize('common', COMMON_FAILURES)
+    def test_earlier_failures_do_not_excuse_a_bad_version(
+        self, common: Fault
+    ) -> None:
+        fault = dataclasses.replace(common, failure_share=0.5)
+        models = [played(seed, fault) for seed in SEEDS]
+        assert all(model.found_s is not None for model in models)
+        assert not any(is_exposed(model) for model in models)
+
+    @pytest.mark.parametrize('common', COMMON_FAILURES)
+    def test_good_version_is_completed_after_them(self, common: Fault) -> None:
+        models = [played(seed, common) for seed in SEEDS]
+        assert all(model.completed_s is not None for model in models)
+
+
 class TestGoodVersion:
     """A good version is completed."""
 
