Relay the evidence of other failure domains during roll-outs

Cause: a reply to a read of the status topic had the reader's own finding alone, and readers gossiped with one random daemon every second or two.

Fix: a reply to a follower relays the eight newest findings, and during roll-outs readers gossip with the readers of the other domains twice a second.

Evidence: test_reply_to_a_follower_relays_the_newest_of_other_daemons fails before.

--- a/marigoldhoist/components/mirrors/const.py
+++ b/marigoldhoist/components/mirrors/const.py
@@ -29,8 +29,9 @@
 # any failure domain.
 GOSSIP_INTERVAL_S: Final = 2.0
 # Longest pause in the first seconds after the start, when daemons that started
-# together still have to find each other.
-DISCOVERY_INTERVAL_S: Final = 0.6
+# together still have to find each other, and during roll-outs, in which readers
+# exchange the findings of their domains.
+SHORT_INTERVAL_S: Final = 0.6
 DISCOVERY_S: Final = 3.0
 # Shortest pause between two pushes of findings.
 PUSH_INTERVAL_S: Final = 0.1
--- a/marigoldhoist/components/mirrors/findings.py
+++ b/marigoldhoist/components/mirrors/findings.py
@@ -19,6 +19,8 @@
 MAX_FINDINGS_PER_MESSAGE: Final = 64
 # A finding that was not renewed for this long is removed.
 FINDING_TTL_S: Final = 60.0
+# Limit of findings of other daemons in the reply to a read.
+MAX_RELAYED_IN_REPLY: Final = 8
 
 # Returns the current finding, or None once it no longer applies.
 FindingProvider: TypeAlias = Callable[[], bytes | None]
@@ -123,8 +125,18 @@
         findings = [*self.local_findings(), *map(self._as_finding, newest)]
         return findings[:MAX_FINDINGS_PER_MESSAGE]
 
+    def findings_for_reply(self, topic: str) -> list[Finding]:
+        """Return the findings to send with the reply to a read of a topic.
+
+        The newest ones of other daemons are relayed with the status topic, as
+        the caller exchanges no gossip with the other failure domains.
+        """
+        if topic == Topic.STATUS.value:
+            return self.known_findings()[: MAX_RELAYED_IN_REPLY + 1]
+        return self.findings_for_read(topic)
+
     def findings_for_read(self, topic: str) -> list[Finding]:
-        """Return the findings to send with a read of a topic or its reply.
+        """Return the findings to send with a read of a topic.
 
         A gossip call, which has an empty topic, carries all known findings.
         Reads of the status topic carry the local ones: daemons follow that
--- a/marigoldhoist/components/mirrors/peers.py
+++ b/marigoldhoist/components/mirrors/peers.py
@@ -232,7 +232,7 @@
         return msgspec.structs.replace(
             reply,
             daemons=self._membership.daemons() if is_due else [],
-            findings=self._findings.findings_for_read(request.topic),
+            findings=self._findings.findings_for_reply(request.topic),
         )
 
     def _feed_for(self, name: str) -> Feed | None:
--- a/marigoldhoist/components/mirrors/service.py
+++ b/marigoldhoist/components/mirrors/service.py
@@ -12,17 +12,17 @@
 
 from marigoldhoist.components.feeds.const import COMPONENT as FEEDS
 from marigoldhoist.components.feeds.errors import StoreUnavailableError
-from marigoldhoist.components.feeds.models import Source
+from marigoldhoist.components.feeds.models import Source, Topic
 from marigoldhoist.components.feeds.service import FeedService
 from marigoldhoist.components.mirrors.codec import MsgpackCodec
 from marigoldhoist.components.mirrors.const import (
     COMPONENT,
     DEPUTIES_PER_DOMAIN,
-    DISCOVERY_INTERVAL_S,
     DISCOVERY_S,
     FALLBACK_PEERS,
     GOSSIP_INTERVAL_S,
     READERS_PER_DOMAIN,
+    SHORT_INTERVAL_S,
 )
 from marigoldhoist.components.mirrors.events import READER_CHANGED
 from marigoldhoist.components.mirrors.findings import FindingExchange
@@ -148,13 +148,19 @@
             if self._is_reader or not self.membership.member_by_host:
                 await self._gossip_once()
             is_discovering = SYSTEM_CLOCK.boottime_s() < discovered_s
-            interval_s = (
-                DISCOVERY_INTERVAL_S if is_discovering else GOSSIP_INTERVAL_S
-            )
+            is_short = is_discovering or self._has_roll_outs
+            interval_s = SHORT_INTERVAL_S if is_short else GOSSIP_INTERVAL_S
             await asyncio.sleep(interval_s * random.uniform(0.5, 1))
 
+    @property
+    def _has_roll_outs(self) -> bool:
+        """Return whether daemons decide by findings on which they depend."""
+        return Topic.STATUS in self._feeds.feed_by_topic
+
     async def _gossip_once(self) -> None:
-        candidates = self.membership.available()
+        candidates = (
+            self._has_roll_outs and self.membership.select_relays()
+        ) or self.membership.available()
         known_addresses = {member.address for member in candidates}
         candidates += [
             Member(seed, seed, '', SYSTEM_CLOCK.boottime_s())
--- a/tests/components/mirrors/test_findings.py
+++ b/tests/components/mirrors/test_findings.py
@@ -1,8 +1,10 @@
 """Exchange and expiry of findings."""
 
+from marigoldhoist.components.feeds.models import Topic
 from marigoldhoist.components.mirrors.findings import (
     FINDING_TTL_S,
     MAX_FINDINGS_PER_MESSAGE,
+    MAX_RELAYED_IN_REPLY,
     FindingExchange,
 )
 
@@ -114,6 +116,23 @@
             b'1'
         ]
 
+    def test_reply_to_a_follower_relays_the_newest_of_other_daemons(
+        self,
+    ) -> None:
+        clock = FakeClock()
+        reader = exchange_of('reader', clock, b'own')
+        for number in range(2 * MAX_RELAYED_IN_REPLY):
+            clock.now_s += 1
+            host = f'd{number}'
+            payload = host.encode()
+            reader.merge(exchange_of(host, clock, payload).known_findings())
+        reply = reader.findings_for_reply(Topic.STATUS.value)
+        payloads = [finding.payload for finding in reply]
+        newest = 2 * MAX_RELAYED_IN_REPLY - 1
+        assert payloads[:2] == [b'own', f'd{newest}'.encode()]
+        assert len(payloads) == MAX_RELAYED_IN_REPLY + 1
+        assert not reader.findings_for_reply(Topic.OPERATOR.value)
+
     def test_provider_without_a_finding_sends_none(self) -> None:
         findings = FindingExchange('a', 1, FakeClock())
         findings.publish(SUBJECT, lambda: None)
