Confirm a version only if its latest answers speak for it for two seconds

Cause: the first daemon that finds the evidence good at any moment decides for all, and the evidence of ten seconds is mostly of the canary phase and of the time in which all versions failed. At 49.82 s the ratio of the bad route just touched the limit (-3.93), while its last two seconds were bad.

Fix: no route may lean to a fault in the answers of the last four seconds, and the evidence has to allow the completion without a break for two seconds. These may lie before the ramp, so that a large service is not later than before.

Evidence: the new tests of gate and clearance fail before.

--- a/marigoldhoist/components/canary/clearance.py
+++ b/marigoldhoist/components/canary/clearance.py
@@ -36,6 +36,9 @@
 MIN_ROUTE_SHARE: Final = 0.05
 # A route on which the baseline fails more often than this cannot show a fault.
 MAX_BASELINE_FAILURE_RATE: Final = 0.8
+# Age of the answers that must not speak against a version on any route when it
+# is completed, although earlier ones cleared it.
+LATEST_S: Final = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,21 +46,25 @@
     """Likelihood ratios of a fault that are low enough to go on.
 
     `service` is the limit for the failures on all routes together, `route` the
-    one for the failures on each route, `log_slowness` the logarithm of the one
-    for slow answers.
+    one for the failures on each route, `latest_route` the one for the latest
+    failures on each route, `log_slowness` the logarithm of the one for slow
+    answers.
     """
 
     service: float
     route: float
+    latest_route: float
     log_slowness: float
 
 
 # Sessions can be moved back after the ramp, and all of them give more evidence:
 # no route has to speak for the version yet.
 TO_RAMP_UP: Final = Clearance(
-    service=0.05, route=2, log_slowness=math.log(0.05)
+    service=0.05, route=2, latest_route=2, log_slowness=math.log(0.05)
+)
+TO_COMPLETE: Final = Clearance(
+    service=0.02, route=0.02, latest_route=1, log_slowness=0
 )
-TO_COMPLETE: Final = Clearance(service=0.02, route=0.02, log_slowness=0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,8 +82,9 @@
     """Log likelihood ratios of a fault, by what was compared.
 
     `recent` are the recent answers of both versions, `baseline_answers` and
-    `baseline_failures` all remembered ones. `failures_by_route` has
-    no routes that can show little; `failures` and `slowness` are the ratios of all answers. `latencies` are the answers
+    `baseline_failures` all remembered ones. `failures_by_route` and
+    `latest_failures_by_route` have no routes that can show little; `failures`
+    and `slowness` are the ratios of all answers. `latencies` are the answers
     whose latencies were compared.
     """
 
@@ -85,6 +93,7 @@
     baseline_failures: int
     failures: float
     failures_by_route: dict[str, float]
+    latest_failures_by_route: dict[str, float]
     slowness: float
     latencies: LatencyCounts
 
@@ -103,6 +112,9 @@
             not is_slow
             and self.failures <= math.log(clearance.service)
             and _are_all_below(self.failures_by_route, clearance.route)
+            and _are_all_below(
+                self.latest_failures_by_route, clearance.latest_route
+            )
         )
 
     def log_fields(self) -> dict[str, object]:
@@ -119,6 +131,9 @@
                 route: round(ratio, 2)
                 for route, ratio in self.failures_by_route.items()
             },
+            'latest_ratio': round(
+                max(self.latest_failures_by_route.values(), default=0), 2
+            ),
             'slow_ratio': round(self.slowness, 2),
             'compared': self.latencies.compared,
             'slow': self.latencies.slow,
@@ -165,6 +180,12 @@
             if route not in rare
             and outcomes.baseline_rate <= MAX_BASELINE_FAILURE_RATE
         },
+        latest_failures_by_route={
+            route: outcomes.log_likelihood_ratio
+            for route, outcomes in failures_by_route(starts, LATEST_S).items()
+            if route not in rare
+            and outcomes.baseline_rate <= MAX_BASELINE_FAILURE_RATE
+        },
         slowness=max(
             (
                 outcomes.log_likelihood_ratio
--- a/marigoldhoist/components/canary/gate.py
+++ b/marigoldhoist/components/canary/gate.py
@@ -19,6 +19,9 @@
 # Share of the allowed time before the ramp from which a version may be cleared,
 # so that the daemons have exchanged the clearance when the ramp starts.
 CLEARANCE_LEAD: Final = 0.05
+# Time for which the evidence has to allow the completion without a break, as
+# the other daemons' evidence of the same time is still on its way.
+CONFIRMATION_S: Final = 2.0
 # While a roll-out is held, its evidence is logged once in this time.
 HELD_LOG_INTERVAL_S: Final = 5.0
 
@@ -48,6 +51,8 @@
         self._schedule = schedule
         self._clock = clock
         self._logged_by_subject: dict[str, _Logged] = {}
+        # Boot times from which the evidence allows completions without a break.
+        self._allowed_since_by_subject: dict[str, float] = {}
 
     def update_ramp(self, roll_out: RollOut) -> None:
         """Clear the target for the ramp once the evidence allows it."""
@@ -73,22 +78,25 @@
     def update_control_group(self, roll_out: RollOut) -> None:
         """Confirm the target for all sessions once the evidence allows it."""
         now_s = self._clock.boottime_s()
-        progress = roll_out.traffic_progress(
-            now_s, self._schedule.ramp_starts_at
-        )
-        if (
-            roll_out.confirmed_s <= now_s
-            or progress <= self._schedule.ramp_starts_at
-        ):
+        ramp_starts_at = self._schedule.ramp_starts_at
+        progress = roll_out.traffic_progress(now_s, ramp_starts_at)
+        until_ramp_s = (ramp_starts_at - progress) * roll_out.order.allowed_s
+        if roll_out.confirmed_s <= now_s or until_ramp_s > CONFIRMATION_S:
             return
+        subject = roll_out.order.subject
         assessment = self._analysis.assess(roll_out.order.service)
-        if assessment.allows(TO_COMPLETE):
-            roll_out.confirmed_s = now_s
-            emit(
-                VERSION_CONFIRMED,
-                **self._roll_out_fields(roll_out),
-                **assessment.log_fields(),
-            )
+        if not assessment.allows(TO_COMPLETE):
+            self._allowed_since_by_subject.pop(subject, None)
+            return
+        since_s = self._allowed_since_by_subject.setdefault(subject, now_s)
+        if until_ramp_s >= 0 or now_s - since_s < CONFIRMATION_S:
+            return
+        roll_out.confirmed_s = now_s
+        emit(
+            VERSION_CONFIRMED,
+            **self._roll_out_fields(roll_out),
+            **assessment.log_fields(),
+        )
 
     def may_complete(self, roll_out: RollOut) -> bool:
         """Return whether the evidence allows to stop the old replicas."""
--- a/tests/components/canary/test_clearance.py
+++ b/tests/components/canary/test_clearance.py
@@ -19,6 +19,7 @@
 )
 from marigoldhoist.components.canary.likelihood import FAULT_SHARE
 from marigoldhoist.components.canary.regression import regression_reason
+from marigoldhoist.components.canary.strata import Stratum, StratumSeries
 
 BASELINE_ANSWERS = 200
 SEEDS = range(1000)
@@ -116,6 +117,16 @@
         )
         assert not assess([evidence]).allows(TO_COMPLETE)
 
+    def test_latest_failures_hold_a_version_that_earlier_answers_cleared(
+        self,
+    ) -> None:
+        evidence = counts('a', 40, 4)
+        earlier = Stratum(4, 34, 0, BASELINE_ANSWERS, 0)
+        latest = Stratum(0, 6, 4, 20, 0)
+        evidence.series = [StratumSeries(0, [latest, earlier])]
+        assert assess([evidence]).failures < math.log(TO_COMPLETE.service)
+        assert not is_cleared(evidence)
+
     def test_models_of_a_route_are_taken_together(self) -> None:
         first, second = counts('a', 5, 0), counts('a', 5, 0)
         second.group = SampleGroup('a/other', Measure.START)
--- a/tests/components/canary/test_gate.py
+++ b/tests/components/canary/test_gate.py
@@ -7,7 +7,10 @@
 from marigoldhoist.components.canary.analysis import CanaryAnalysis
 from marigoldhoist.components.canary.clearance import Assessment, assess
 from marigoldhoist.components.canary.const import CONTROL_DRAIN_S
-from marigoldhoist.components.canary.gate import RollOutGate
+from marigoldhoist.components.canary.gate import (
+    CONFIRMATION_S,
+    RollOutGate,
+)
 from marigoldhoist.components.canary.models import RollOut, RollOutOrder
 from marigoldhoist.components.canary.traffic_split import RampSchedule
 from marigoldhoist.core.clock import SystemClock
@@ -52,8 +55,10 @@
         )
         self.roll_out = RollOut(ORDER, 0, cleared_s=0)
 
-    def has_released(self) -> bool:
-        """Let the gate decide; return whether the control group is released."""
+    def has_released(self, after_s: float = CONFIRMATION_S) -> bool:
+        """Let the gate decide now and later; return whether it released."""
+        self.gate.update_control_group(self.roll_out)
+        self.clock.now_s += after_s
         self.gate.update_control_group(self.roll_out)
         return self.roll_out.confirmed_s <= self.clock.now_s
 
@@ -67,6 +72,24 @@
         controlled.analysis.assessment = SPEAKS_FOR
         assert controlled.has_released()
 
+    def test_stays_until_the_evidence_spoke_for_the_version_for_a_while(
+        self,
+    ) -> None:
+        controlled = ControlledRollOut(SPEAKS_FOR)
+        assert not controlled.has_released(CONFIRMATION_S / 2)
+        controlled.analysis.assessment = SPEAKS_AGAINST
+        assert not controlled.has_released(CONFIRMATION_S / 4)
+        controlled.analysis.assessment = SPEAKS_FOR
+        assert not controlled.has_released(CONFIRMATION_S / 2)
+        assert controlled.has_released(CONFIRMATION_S / 2)
+
+    def test_time_before_the_ramp_counts(self) -> None:
+        controlled = ControlledRollOut(SPEAKS_FOR)
+        ramp_starts_s = SCHEDULE.ramp_starts_at * ORDER.allowed_s
+        controlled.clock.now_s = ramp_starts_s - CONFIRMATION_S / 2
+        assert not controlled.has_released(CONFIRMATION_S / 4)
+        assert controlled.has_released(CONFIRMATION_S * 7 / 8)
+
     def test_stays_before_the_ramp(self) -> None:
         controlled = ControlledRollOut(SPEAKS_FOR)
         controlled.clock.now_s = BEFORE_RAMP_S
--- a/tests/test_log_lines.py
+++ b/tests/test_log_lines.py
@@ -14,6 +14,7 @@
     ('answers', 'baseline_answers', 'recent_baseline_answers')
 ) | {
     'failures',
+    'latest_ratio',
     'baseline_failures',
     'recent_baseline_failures',
     'failure_ratio',
