Query the next source while the one before it is silent

With silent peers and a silent store a round took up to 0.85 s for the reader, 0.85 s for its deputy, 1.7 s for the store and 1.7 s for two further peers, 5.1 s in all, while a change has to be in force within 2 or 3 s.

Fix: a source that has not answered 0.2 s after its long poll is silent, and the next one is queried without a long poll while the answer is still awaited. Two silent peers and a silent store cost 1.1 s before the next peer is asked. The queries that are left end on their own, so that a peer that fails is still avoided; their answers are not applied, nor is one that holds all keys but was overtaken by another answer.

Logs tell the readings apart now: a version's source and the age of the one before at its adoption, what each source of a failed round cost, and the version and age by which a request was sent.

Evidence: test_next_source_is_asked_while_others_are_silent fails before (it waits for the silent reader until its time is over).

--- a/marigoldhoist/components/configuration/service.py
+++ b/marigoldhoist/components/configuration/service.py
@@ -44,8 +44,11 @@
         """Return the age in seconds at a boot time in seconds."""
         return boottime_s - self._confirmed_s
 
-    def adopt(self, configuration: Configuration) -> None:
-        """Put a version in force if it is newer than the current one."""
+    def adopt(self, configuration: Configuration, source: str = '') -> None:
+        """Put a version in force if it is newer than the current one.
+
+        `source` is the name of the source that it was read from.
+        """
         current = self.current
         if current is not None and configuration.version <= current.version:
             if configuration.version < current.version:
@@ -60,6 +63,8 @@
             CONFIGURATION_ADOPTED,
             version=configuration.version,
             before=current.version if current else None,
+            before_age_s=round(self.age_s, 3) if current else None,
+            source=source,
             keys=len(configuration.workspace_by_key),
             routes=sum(map(len, configuration.routes_by_authority.values())),
         )
--- a/marigoldhoist/components/feeds/events.py
+++ b/marigoldhoist/components/feeds/events.py
@@ -30,3 +30,9 @@
     'info',
     'Older records are gone; the newest record of every key is read instead.',
 )
+LATE_READ_FAILED = declare_event(
+    3406,
+    'late_read_failed',
+    'error',
+    'A read whose answer was not waited for failed unexpectedly.',
+)
--- a/marigoldhoist/components/feeds/feed.py
+++ b/marigoldhoist/components/feeds/feed.py
@@ -1,6 +1,7 @@
 """Follow a topic: read the newest record of each key, then the appends."""
 
 import asyncio
+import contextlib
 import dataclasses
 import enum
 import math
@@ -31,6 +32,7 @@
     Source,
     Topic,
 )
+from marigoldhoist.components.feeds.queries import Query, SourceQueries
 from marigoldhoist.core.clock import SYSTEM_CLOCK, SystemClock
 from marigoldhoist.core.events import emit
 
@@ -63,7 +65,8 @@
     for the first read. If `is_whole`, the records are the newest of all keys,
     so a key that is missing no longer exists. If `is_new_era`, the source was
     restored from an older copy: records may be older than those known before,
-    and keys may be missing until their writers write them again.
+    and keys may be missing until their writers write them again. `source` is
+    the name of the source that was read.
     """
 
     batch: Batch
@@ -71,6 +74,7 @@
     is_whole: bool
     previously_confirmed_s: float = -math.inf
     is_new_era: bool = False
+    source: str = ''
 
 
 class _Outcome(enum.Enum):
@@ -88,9 +92,9 @@
     """Reads a topic continuously and reports each read to a callback.
 
     The sources are queried in order until an answer is fresh enough and not
-    relayed. Relayed answers do not suffice, because peers that cannot reach
-    the store would otherwise relay the same records to each other until they
-    are too old.
+    relayed; a silent one does not hold up the next. Relayed answers do not
+    suffice, because peers that cannot reach the store would otherwise relay the
+    same records to each other until they are too old.
     """
 
     def __init__(
@@ -113,7 +117,8 @@
         self._lost_since_s: float | None = None
         self._regained_s = -math.inf
         self._backoff_s = MIN_BACKOFF_S
-        self._failure_reason = ''
+        self._reason_by_source: dict[str, str] = {}
+        self._queries = SourceQueries(plan.topic, clock)
 
     @property
     def position(self) -> Position | None:
@@ -167,35 +172,38 @@
 
     async def follow(self) -> None:
         """Read the topic until cancelled."""
-        while True:
-            if await self.read_once():
-                self._note_healthy()
-                await asyncio.sleep(self._plan.pause_s)
-            else:
-                self._note_lost()
-                await asyncio.sleep(self._backoff_s)
-                self._backoff_s = min(
-                    MAX_BACKOFF_S, self._backoff_s * BACKOFF_GROWTH
+        try:
+            while True:
+                is_usable = await self.read_once()
+                await asyncio.sleep(
+                    self._note_healthy() if is_usable else self._note_lost()
                 )
+        finally:
+            self._queries.cancel()
 
     async def read_once(self) -> bool:
         """Query the sources in order; return whether an answer was usable."""
         is_usable = False
-        for source in self._sources():
-            outcome = await self._query(source)
-            if outcome is _Outcome.SUFFICIENT:
-                self.is_from_peer = source.kind == PEER
-                return True
-            is_usable = is_usable or outcome is _Outcome.RELAYED
+        self._reason_by_source.clear()
+        self._queries.position = self.position
+        answered = self._queries.answered(self._sources(), self._plan.wait_s)
+        async with contextlib.aclosing(answered):
+            async for query in answered:
+                outcome = self._take(query)
+                self._queries.position = self.position
+                if outcome is _Outcome.SUFFICIENT:
+                    self.is_from_peer = query.source.kind == PEER
+                    return True
+                is_usable = is_usable or outcome is _Outcome.RELAYED
         # Set only now: while the sources are queried, other daemons still get
         # what the last read from the store confirmed.
         self.is_from_peer = self.is_from_peer or is_usable
         return is_usable
 
-    async def _query(self, source: Source) -> _Outcome:
-        """Query one source and return the outcome."""
+    def _take(self, query: Query) -> _Outcome:
+        """Apply the answer to a query and return the outcome."""
         try:
-            result = await self._read_from(source)
+            result = self._apply(query, query.task.result())
         except HistoryLostError:
             emit(
                 TOPIC_READ_ANEW,
@@ -208,31 +216,29 @@
             return _Outcome.SUFFICIENT
         except StoreUnavailableError as error:
             self._count_outcome('failed')
-            self._failure_reason = f'{source.name}: {error}'
+            self._reason_by_source[query.source.name] = query.described(error)
             return _Outcome.UNUSABLE
-        self._count_outcome(source.kind)
+        self._count_outcome(query.source.kind)
         if result.is_settling:
             return _Outcome.SUFFICIENT
         if result.age_s > self._plan.max_staleness_s:
-            self._failure_reason = (
-                f'{source.name}: news is {result.age_s:.1f} s old'
+            self._reason_by_source[query.source.name] = query.described(
+                f'news is {result.age_s:.1f} s old'
             )
             return _Outcome.UNUSABLE
         return _Outcome.RELAYED if result.is_relayed else _Outcome.SUFFICIENT
 
-    async def _read_from(self, source: Source) -> ReadResult:
-        """Read from a source, apply the result and report it."""
-        sent_s = self._clock.boottime_s()
-        position = self.position
-        result = await source.read(
-            self._plan.topic, position, self._plan.wait_s
-        )
-        self._eras.require_usable(source.name, position, result)
-        is_new_era = self._eras.advance(source.name, result.batch)
+    def _apply(self, query: Query, result: ReadResult) -> ReadResult:
+        """Apply the answer to a query and report it."""
+        self._eras.require_usable(query.source.name, query.position, result)
+        if result.is_whole and query.position != self.position:
+            # Its keys may be older than those that were read meanwhile.
+            raise StoreUnavailableError('overtaken by another answer')
+        is_new_era = self._eras.advance(query.source.name, result.batch)
         if is_new_era:
             self._count_outcome('era_changed')
         previously_confirmed_s = self._confirmed_s
-        confirmed_s = sent_s - result.age_s
+        confirmed_s = query.sent_s - result.age_s
         if result.is_settling or self.is_settling:
             # A lost record may not have been written again yet.
             confirmed_s = previously_confirmed_s
@@ -245,25 +251,31 @@
                 result.is_whole,
                 previously_confirmed_s,
                 is_new_era,
+                query.source.name,
             )
         )
         return result
 
-    def _note_lost(self) -> None:
+    def _note_lost(self) -> float:
+        """Note that a read failed; return the pause until the next."""
+        pause_s = self._backoff_s
+        self._backoff_s = min(MAX_BACKOFF_S, pause_s * BACKOFF_GROWTH)
         if self._lost_since_s is not None:
-            return
+            return pause_s
         self._lost_since_s = self._clock.boottime_s()
         emit(
             STORE_LOST,
             topic=self._plan.topic.value,
-            reason=self._failure_reason,
+            reasons=dict(self._reason_by_source),
             age_s=self._known_age_s,
         )
+        return pause_s
 
-    def _note_healthy(self) -> None:
+    def _note_healthy(self) -> float:
+        """Note that a read succeeded; return the pause until the next."""
         self._backoff_s = MIN_BACKOFF_S
         if self._lost_since_s is None:
-            return
+            return self._plan.pause_s
         now_s = self._clock.boottime_s()
         emit(
             STORE_REGAINED,
@@ -272,3 +284,4 @@
         )
         self._lost_since_s = None
         self._regained_s = now_s
+        return self._plan.pause_s
--- a/marigoldhoist/components/feeds/models.py
+++ b/marigoldhoist/components/feeds/models.py
@@ -72,10 +72,14 @@
 
 
 class Source(Protocol):
-    """A source that a feed can read from; its kind is `store` or `peer`."""
+    """A source that a feed can read from; its kind is `store` or `peer`.
+
+    `max_wait_s` is the longest long poll that it grants.
+    """
 
     name: str
     kind: str
+    max_wait_s: float
 
     async def read(
         self, topic: Topic, position: Position | None, wait_s: float
--- a/marigoldhoist/components/feeds/service.py
+++ b/marigoldhoist/components/feeds/service.py
@@ -1,6 +1,7 @@
 """Run the feeds, one task for each topic that a component follows."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from functools import partial
 
@@ -26,6 +27,7 @@
 
     name = 'store'
     kind = 'store'
+    max_wait_s = math.inf
 
     def __init__(self, store: Store) -> None:
         self._store = store
--- a/marigoldhoist/components/gateway/attempts.py
+++ b/marigoldhoist/components/gateway/attempts.py
@@ -287,6 +287,7 @@
         progress.note(
             REQUEST_SENT,
             **_send_log_fields(progress, replica),
+            **self._context.admission.configuration_fields(),
             closed_for_s=_closed_for_s(
                 self._context.directory.usable(progress.service)
             ),
--- a/marigoldhoist/components/mirrors/peers.py
+++ b/marigoldhoist/components/mirrors/peers.py
@@ -119,6 +119,7 @@
     """Another daemon as the source of a feed."""
 
     kind = PEER
+    max_wait_s = MAX_LONG_POLL_S
 
     def __init__(
         self, client: PeerClient, member: Member, *, is_reader: bool
@@ -136,7 +137,7 @@
         A daemon that is in another era gives all its records.
         """
         reply = await self._client.read(
-            self._member, topic, position, min(wait_s, MAX_LONG_POLL_S)
+            self._member, topic, position, min(wait_s, self.max_wait_s)
         )
         if reply.end is None:
             raise StoreUnavailableError(
--- a/marigoldhoist/platform/topic_handlers.py
+++ b/marigoldhoist/platform/topic_handlers.py
@@ -57,7 +57,9 @@
     ) -> None:
         try:
             if record.key == CONFIGURATION_KEY:
-                self._configuration.adopt(decode_configuration(raw))
+                self._configuration.adopt(
+                    decode_configuration(raw), update.source
+                )
             elif record.key.startswith(ROLL_OUT_KEY_PREFIX):
                 position = Position(record.offset, update.batch.era)
                 self._canary.handle_order(
--- a/tests/components/feeds/test_feed.py
+++ b/tests/components/feeds/test_feed.py
@@ -20,7 +20,8 @@
 )
 from marigoldhoist.core.clock import SystemClock
 
-PLAN = FeedPlan(Topic.OPERATOR, wait_s=1)
+PLAN = FeedPlan(Topic.OPERATOR, wait_s=0.1)
+TEST_TIMEOUT_S = 10
 
 
 class ManualClock(SystemClock):
@@ -45,6 +46,7 @@
     ) -> None:
         self.name = name
         self.kind = 'store'
+        self.max_wait_s = 1.0
         self.on_read: Callable[[], object] = bool
         self.offsets_read: list[int | None] = []
         self._clock = clock
@@ -177,6 +179,74 @@
         assert fixture.feed.position == Position(5)
 
 
+class SilentSource(ScriptedSource):
+    """A source that answers only once the test allows it."""
+
+    def __init__(
+        self,
+        clock: ManualClock,
+        name: str,
+        script: Iterable[ReadResult | Exception],
+    ) -> None:
+        super().__init__(clock, name, script)
+        self.released = asyncio.Event()
+
+    async def read(
+        self, topic: Topic, position: Position | None, wait_s: float
+    ) -> ReadResult:
+        """Return the next item of the script after a while."""
+        item = await super().read(topic, position, wait_s)
+        await self.released.wait()
+        return item
+
+
+class TestSilentSource:
+    """A source that gives no answer does not hold up the others."""
+
+    def test_next_source_is_asked_while_others_are_silent(self) -> None:
+        async def scenario() -> bool:
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                return await fixture.feed.read_once()
+
+        fixture = Fixture()
+        for name in ('reader', 'deputy'):
+            silent = SilentSource(fixture.clock, name, [result(1)])
+            fixture.sources.append(silent)
+        fixture.add('s', result(5, 'a', is_whole=True))
+        assert asyncio.run(scenario())
+        assert fixture.feed.position == Position(5)
+
+    def test_late_answer_is_not_applied(self) -> None:
+        async def scenario() -> None:
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                await fixture.feed.read_once()
+            silent.released.set()
+            await asyncio.sleep(0)
+
+        fixture = Fixture()
+        silent = SilentSource(
+            fixture.clock, 'reader', [result(2, 'old', is_whole=True)]
+        )
+        fixture.sources.append(silent)
+        fixture.add('s', result(5, 'a', is_whole=True))
+        asyncio.run(scenario())
+        assert [update.batch.end for update in fixture.updates] == [5]
+
+    def test_answer_of_a_silent_source_is_waited_for_without_others(
+        self,
+    ) -> None:
+        async def scenario() -> bool:
+            read = asyncio.create_task(fixture.feed.read_once())
+            await asyncio.sleep(0)
+            silent.released.set()
+            return await read
+
+        fixture = Fixture()
+        silent = SilentSource(fixture.clock, 's', [result(2, is_whole=True)])
+        fixture.sources.append(silent)
+        assert asyncio.run(scenario())
+
+
 class TestRelayed:
     """A feed says whether its last read came from the store."""
 
--- a/tests/test_log_lines.py
+++ b/tests/test_log_lines.py
@@ -30,7 +30,8 @@
     'REQUEST_SENT': REQUEST
     | {'replica', 'version', 'session', 'model', 'tokens_in', 'sends'}
     | {'own_in_flight', 'counted_in_flight', 'count_age_s', 'left_s'}
-    | {'limit_per_s', 'closed_for_s'},
+    | {'limit_per_s', 'closed_for_s'}
+    | {'configuration', 'configuration_age_s'},
     'REQUEST_ENDED': REQUEST
     | {'replica', 'model', 'sends', 'events', 'first_s'},
     'REQUEST_FAILED': REQUEST
@@ -80,7 +81,8 @@
     | {'interval_s'},
     'STATUS_NOT_WRITTEN': {'service', 'target', 'state', 'expected_end'}
     | {'reason'},
-    'STORE_LOST': {'topic', 'reason', 'age_s'},
+    'STORE_LOST': {'topic', 'reasons', 'age_s'},
+    'LATE_READ_FAILED': {'topic', 'error'},
     'ERA_CHANGED': {'topic', 'source', 'era', 'before', 'end'},
     'ERA_REJECTED': {'topic', 'source', 'era', 'known_era'},
     'STORE_REGAINED': {'topic', 'lost_for_s'},
@@ -108,7 +110,14 @@
     | {'started_ms', 'known_started_ms'},
     'REPLICA_REACHABLE': {'replica', 'service', 'known_for_s'},
     'REPLICA_REPLACED': {'replica', 'address', 'known_for_s'},
-    'CONFIGURATION_ADOPTED': {'version', 'before', 'keys', 'routes'},
+    'CONFIGURATION_ADOPTED': {
+        'source',
+        'before_age_s',
+        'version',
+        'before',
+        'keys',
+        'routes',
+    },
     'OLDER_CONFIGURATION_PASSED_OVER': {'version', 'in_force'},
     'RECORD_UNREADABLE': {'key', 'offset', 'reason'},
     'DAEMON_STARTED': {'version', 'settings'},
