Bound what other writers store by value, not by type alone

Happens here: a gateway lost the records that came after a deeply nested entry in the same read, and sent 140 of some 316 calls to a replica that had left.

Cause: msgspec raises RecursionError for nesting and int() ValueError for '²' and for 5,000 digits, neither of which is a DecodeError; the feed moved its position before it reported the records, so the rest of the read was lost. Integers, addresses and ports had no bounds.

Registrations have bounded numbers and an IPv4 address. A record that fails unexpectedly is logged and does not take those after it along. The same class elsewhere: a value that is no base64 spoiled a whole page of newest records, a confidence of '²' or a deadline of 5,000 digits ended a call's handler, and an unreadable reply of a peer ended a feed.

--- a/marigoldhoist/components/billing/aggregator.py
+++ b/marigoldhoist/components/billing/aggregator.py
@@ -4,8 +4,6 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-import msgspec
-
 from marigoldhoist.components.billing.const import BILL_KIND
 from marigoldhoist.components.billing.models import (
     Bill,
@@ -14,6 +12,7 @@
 )
 from marigoldhoist.components.platform_log.const import BILL_STREAM
 from marigoldhoist.components.platform_log.models import LogEntry, ReadReply
+from marigoldhoist.core.decoding import decode_json
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,7 +48,7 @@
             self.duplicate_count += 1
             return
         self._seen_ids.add(entry.record.id)
-        bill = msgspec.json.decode(entry.record.body, type=Bill)
+        bill = decode_json(entry.record.body, Bill)
         key = (bill.workspace, bill.serving)
         self._total_by_key.setdefault(key, RunningTotal()).add(bill)
 
--- a/marigoldhoist/components/billing/service.py
+++ b/marigoldhoist/components/billing/service.py
@@ -33,6 +33,7 @@
 from marigoldhoist.components.platform_log.models import new_record
 from marigoldhoist.components.platform_log.service import LogService
 from marigoldhoist.core.clock import SYSTEM_CLOCK
+from marigoldhoist.core.decoding import decode_msgpack
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.identity import DaemonSettings
 from marigoldhoist.core.kernel import BaseService, Kernel
@@ -138,16 +139,16 @@
     def _on_copy(self, _sender: str, payload: bytes) -> bytes:
         if self._kernel.draining.is_set():
             return b''
-        self._held.add(msgspec.msgpack.decode(payload, type=BillBatch).bills)
+        self._held.add(decode_msgpack(payload, BillBatch).bills)
         return ACCEPTED
 
     def _on_confirmed(self, _sender: str, payload: bytes) -> None:
-        confirmed = msgspec.msgpack.decode(payload, type=ConfirmedBills)
+        confirmed = decode_msgpack(payload, ConfirmedBills)
         self._held.discard(confirmed.record_ids)
 
     def _on_hand_over(self, _sender: str, payload: bytes) -> bytes:
         if self._kernel.draining.is_set():
             return b''
-        for bill in msgspec.msgpack.decode(payload, type=BillBatch).bills:
+        for bill in decode_msgpack(payload, BillBatch).bills:
             self._pending.add(bill)
         return ACCEPTED
--- a/marigoldhoist/components/canary/analysis.py
+++ b/marigoldhoist/components/canary/analysis.py
@@ -30,6 +30,7 @@
 from marigoldhoist.components.canary.regression import regression_reason
 from marigoldhoist.components.mirrors.findings import FindingExchange
 from marigoldhoist.core.clock import SYSTEM_CLOCK, SystemClock
+from marigoldhoist.core.decoding import decode_msgpack
 from marigoldhoist.core.events import emit
 
 # The pooled evidence of other daemons is cached for this long instead of being
@@ -141,9 +142,7 @@
         recent_since_s = self._clock.boottime_s() - max_age_s
         for finding in self._findings.received_for(self.roll_out.order.subject):
             try:
-                peer = msgspec.msgpack.decode(
-                    finding.payload, type=DaemonEvidence
-                )
+                peer = decode_msgpack(finding.payload, DaemonEvidence)
             except msgspec.MsgspecError as error:
                 emit(EVIDENCE_PASSED_OVER, reason=str(error))
                 continue
--- a/marigoldhoist/components/claims/fold.py
+++ b/marigoldhoist/components/claims/fold.py
@@ -25,6 +25,7 @@
     RequestKey,
 )
 from marigoldhoist.components.platform_log.models import LogEntry
+from marigoldhoist.core.decoding import decode_json
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.verdict import Verdict
 
@@ -112,7 +113,7 @@
 
     def restore(self, dumped: msgspec.Raw) -> None:
         """Replace the whole state with that of a snapshot."""
-        snapshot = msgspec.json.decode(dumped, type=ClaimSnapshot)
+        snapshot = decode_json(dumped, ClaimSnapshot)
         with self._lock:
             self._next_offset = snapshot.next_offset
             self.newest_ms = snapshot.newest_ms
@@ -130,7 +131,7 @@
         self.newest_ms = max(self.newest_ms, entry.time_ms)
 
     def _apply_claim(self, entry: LogEntry) -> None:
-        body = msgspec.json.decode(entry.record.body, type=ClaimBody)
+        body = decode_json(entry.record.body, ClaimBody)
         key = RequestKey(body.workspace, body.request_id)
         state = self.find(key)
         claim_id = entry.record.id
@@ -147,7 +148,7 @@
         )
 
     def _apply_outcome(self, entry: LogEntry) -> None:
-        body = msgspec.json.decode(entry.record.body, type=OutcomeBody)
+        body = decode_json(entry.record.body, OutcomeBody)
         key = RequestKey(body.workspace, body.request_id)
         state = self.find(key)
         # A released claim whose append is delayed must not win later.
--- a/marigoldhoist/components/dispatch/buffered_answer.py
+++ b/marigoldhoist/components/dispatch/buffered_answer.py
@@ -10,6 +10,7 @@
 from marigoldhoist.components.streams.errors import StreamError
 from marigoldhoist.components.streams.stream import StreamSource
 from marigoldhoist.components.upstreams.response import UpstreamResponse
+from marigoldhoist.core.decoding import decode_json
 
 STREAM_ERRORS = (urllib3.exceptions.HTTPError, StreamError)
 
@@ -119,6 +120,6 @@
 
 def _decode_doubt(text: bytes) -> float | None:
     try:
-        return msgspec.json.decode(text, type=DoubtField).doubt
+        return decode_json(text, DoubtField).doubt
     except msgspec.MsgspecError:
         return None
--- a/marigoldhoist/components/dispatch/calls.py
+++ b/marigoldhoist/components/dispatch/calls.py
@@ -11,6 +11,7 @@
 )
 from marigoldhoist.components.upstreams.models import UpstreamCall
 from marigoldhoist.core.const import MS_PER_S
+from marigoldhoist.core.decoding import decode_json
 from marigoldhoist.core.exchange import CallerRequest
 
 
@@ -51,6 +52,6 @@
 
 
 def _with_model(body: bytes, serving: str) -> bytes:
-    fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    fields = decode_json(body, dict[str, msgspec.Raw])
     fields['model'] = msgspec.Raw(msgspec.json.encode(serving))
     return msgspec.json.encode(fields)
--- a/marigoldhoist/components/dispatch/metering.py
+++ b/marigoldhoist/components/dispatch/metering.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from marigoldhoist.core.decoding import decode_json
+
 
 class Usage(msgspec.Struct, frozen=True):
     """Token usage as reported by the engine."""
@@ -36,7 +38,7 @@
         """Mark the body as complete and parse its token usage."""
         self.is_whole = True
         try:
-            whole = msgspec.json.decode(bytes(self._body), type=CompletionBody)
+            whole = decode_json(bytes(self._body), CompletionBody)
         except msgspec.MsgspecError:
             return
         self.tokens = whole.usage.completion_tokens
--- a/marigoldhoist/components/entry/reader.py
+++ b/marigoldhoist/components/entry/reader.py
@@ -19,6 +19,7 @@
 from marigoldhoist.components.table.models import ServiceRow
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.const import MS_PER_S
+from marigoldhoist.core.decoding import decode_json, parse_integer
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
 from marigoldhoist.core.exchange import CallerRequest
 
@@ -78,7 +79,7 @@
 ) -> Result[CallerRequest, RequestFailure]:
     """Parse a chat completion request."""
     try:
-        chat = msgspec.json.decode(body, type=ChatBody)
+        chat = decode_json(body, ChatBody)
     except msgspec.MsgspecError as error:
         return _bad_request(f'body: {error}')
     return _deadline_ms(environ).and_then(
@@ -146,9 +147,10 @@
     given = environ.get('HTTP_X_DEADLINE_MS')
     if given is None:
         return Ok(DEFAULT_DEADLINE_MS)
-    if not given.isascii() or not given.isdigit() or not int(given):
+    deadline_ms = parse_integer(given)
+    if not deadline_ms:
         return _bad_request('X-Deadline-Ms must be a whole number above 0')
-    return Ok(min(int(given), DEFAULT_DEADLINE_MS))
+    return Ok(min(deadline_ms, DEFAULT_DEADLINE_MS))
 
 
 def _deadline_s(deadline_ms: float) -> float:
--- a/marigoldhoist/components/entry/server.py
+++ b/marigoldhoist/components/entry/server.py
@@ -8,6 +8,7 @@
 
 from marigoldhoist.components.dispatch.const import VERDICT_HEADER
 from marigoldhoist.components.entry.models import FailureBody, FailureDetail
+from marigoldhoist.core.decoding import parse_integer
 from marigoldhoist.core.errors import ErrorCode
 from marigoldhoist.core.verdict import Verdict
 
@@ -50,7 +51,7 @@
         if b'Content-Length' in received and b'Transfer-Encoding' in received:
             raise ValueError('both Content-Length and Transfer-Encoding')
         length = received.get(b'Content-Length', b'0')
-        if not length.isdigit():
+        if parse_integer(length.decode('latin-1')) is None:
             raise ValueError('Content-Length is not a number')
         if headers is not None:
             headers.update(received)
--- a/marigoldhoist/components/gateway/handover_headers.py
+++ b/marigoldhoist/components/gateway/handover_headers.py
@@ -4,6 +4,7 @@
 
 from marigoldhoist.components.gateway.messages import Header, MessageHead
 from marigoldhoist.components.handover.models import Handover
+from marigoldhoist.core.decoding import parse_integer
 
 FROM_HOST: Final = b'x-handover-from'
 SEND_COUNT: Final = b'x-handover-send-count'
@@ -38,8 +39,7 @@
 
 def send_count(head: MessageHead) -> int:
     """Return the number of attempts, zero if the header is invalid."""
-    text = head.value(SEND_COUNT)
-    return int(text) if text.isascii() and text.isdigit() else 0
+    return parse_integer(head.value(SEND_COUNT)) or 0
 
 
 def replica_host(head: MessageHead) -> str:
--- a/marigoldhoist/components/gateway/peer_sender.py
+++ b/marigoldhoist/components/gateway/peer_sender.py
@@ -38,6 +38,7 @@
 )
 from marigoldhoist.components.mirrors.membership import Member
 from marigoldhoist.core.clock import SYSTEM_CLOCK
+from marigoldhoist.core.decoding import decode_json
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
 from marigoldhoist.core.identity import split_address
 from marigoldhoist.core.kernel import Kernel
@@ -164,7 +165,7 @@
             return
         body = await response.body(MAX_REFUSAL_BODY_BYTES)
         try:
-            failure = msgspec.json.decode(body, type=PeerFailure)
+            failure = decode_json(body, PeerFailure)
         except msgspec.MsgspecError as error:
             raise AttemptError(
                 f'{peer_call.peer.host}: {error}', Verdict.MAY_HAVE_RUN
--- a/marigoldhoist/components/gateway/splitter.py
+++ b/marigoldhoist/components/gateway/splitter.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from marigoldhoist.components.gateway.errors import MalformedMessageError
+from marigoldhoist.core.decoding import parse_integer
 
 EVENT_END: Final = b'\n\n'
 ID_FIELD: Final = b'id:'
@@ -54,5 +55,5 @@
     for line in raw.split(b'\n'):
         if line.startswith(ID_FIELD):
             text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else 0
+            return parse_integer(text.decode('latin-1')) or 0
     return 0
--- a/marigoldhoist/components/health/service.py
+++ b/marigoldhoist/components/health/service.py
@@ -35,6 +35,7 @@
 from marigoldhoist.components.table.service import TableService
 from marigoldhoist.components.upstreams.const import COMPONENT as UPSTREAMS
 from marigoldhoist.components.upstreams.service import UpstreamService
+from marigoldhoist.core.decoding import decode_msgpack
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.kernel import BaseService, Kernel
 
@@ -129,7 +130,7 @@
         emit(VERSION_HELD, serving=serving, reason=notice.reason)
 
     def _on_notice(self, _sender: str, payload: bytes) -> None:
-        notice = msgspec.msgpack.decode(payload, type=HoldNotice)
+        notice = decode_msgpack(payload, HoldNotice)
         is_current = self._current_revision(notice) <= notice.revision
         if is_current and not self._is_last_usable(
             notice.model, notice.version
--- a/marigoldhoist/components/hosts/service.py
+++ b/marigoldhoist/components/hosts/service.py
@@ -7,6 +7,7 @@
 from marigoldhoist.components.hosts.events import HOSTS_UNREADABLE
 from marigoldhoist.components.hosts.models import HostEntry, HostList, HostRole
 from marigoldhoist.components.hosts.settings import HostSettings
+from marigoldhoist.core.decoding import decode_json
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.kernel import BaseService, Kernel
 
@@ -46,7 +47,7 @@
         reply = self._pool.request(
             'GET', f'{self._settings.url}/hosts', timeout=FETCH_TIMEOUT_S
         )
-        return msgspec.json.decode(reply.data, type=HostList)
+        return decode_json(reply.data, HostList)
 
     def _poll(self) -> None:
         while not self._kernel.stopping.wait(self._settings.poll_interval_s):
--- a/marigoldhoist/components/leases/orders.py
+++ b/marigoldhoist/components/leases/orders.py
@@ -21,6 +21,7 @@
     OrderKind,
     OrderReply,
 )
+from marigoldhoist.core.decoding import decode_json
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.verdict import Verdict
 
@@ -169,6 +170,6 @@
 
 def _decode_reply(body: bytes) -> OrderResult:
     try:
-        return Ok(msgspec.json.decode(body, type=OrderReply))
+        return Ok(decode_json(body, OrderReply))
     except msgspec.MsgspecError as error:
         return Err(OrderFailure(str(error), Verdict.MAY_HAVE_RUN))
--- a/marigoldhoist/components/leases/state_machine.py
+++ b/marigoldhoist/components/leases/state_machine.py
@@ -14,6 +14,7 @@
     LeaseState,
 )
 from marigoldhoist.components.platform_log.models import LogEntry
+from marigoldhoist.core.decoding import decode_json
 
 
 class LeaseStateMachine:
@@ -33,7 +34,7 @@
         now_ms = max(self.state.log_time_ms, entry.time_ms)
         lease_by_name = self.state.lease_by_name
         if entry.record.kind == LEASE_KIND:
-            request = msgspec.json.decode(entry.record.body, type=LeaseRecord)
+            request = decode_json(entry.record.body, LeaseRecord)
             updated = _next_lease(
                 lease_by_name.get(request.name), request, entry.offset, now_ms
             )
@@ -47,7 +48,7 @@
 
     def restore(self, dumped: msgspec.Raw) -> None:
         """Replace the state with that of a snapshot."""
-        self.state = msgspec.json.decode(dumped, type=LeaseState)
+        self.state = decode_json(dumped, LeaseState)
 
 
 def _next_lease(
--- a/marigoldhoist/components/limits/service.py
+++ b/marigoldhoist/components/limits/service.py
@@ -28,6 +28,7 @@
 from marigoldhoist.components.table.const import COMPONENT as TABLE
 from marigoldhoist.components.table.service import TableService
 from marigoldhoist.core.clock import SYSTEM_CLOCK
+from marigoldhoist.core.decoding import decode_msgpack
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
 from marigoldhoist.core.exchange import CallerRequest
 from marigoldhoist.core.kernel import BaseService, Kernel
@@ -101,10 +102,10 @@
         )
 
     def _on_loan_request(self, sender: str, payload: bytes) -> None:
-        request = msgspec.msgpack.decode(payload, type=LoanRequest)
+        request = decode_msgpack(payload, LoanRequest)
         for loan in self._manager.lend(request, self._table.state):
             encoded = msgspec.msgpack.encode(loan)
             self._peers.publish(LOAN_GRANT_TOPIC, encoded, [sender])
 
     def _on_loan_grant(self, _sender: str, payload: bytes) -> None:
-        self._manager.borrow(msgspec.msgpack.decode(payload, type=LoanGrant))
+        self._manager.borrow(decode_msgpack(payload, LoanGrant))
--- a/marigoldhoist/components/mirrors/codec.py
+++ b/marigoldhoist/components/mirrors/codec.py
@@ -5,6 +5,8 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
+from marigoldhoist.core.decoding import decode_msgpack
+
 
 class MsgpackCodec(CodecBase):
     """Encodes msgspec structs as MessagePack."""
@@ -17,4 +19,4 @@
 
     def decode(self, data: bytes, message_type: Any) -> Any:
         """Return the decoded message, or raise msgspec.DecodeError."""
-        return msgspec.msgpack.decode(data, type=message_type)
+        return decode_msgpack(data, message_type)
--- a/marigoldhoist/components/mirrors/peers.py
+++ b/marigoldhoist/components/mirrors/peers.py
@@ -44,6 +44,7 @@
     GRPCError,
     ProtocolError,
     StreamTerminatedError,
+    msgspec.MsgspecError,
 )
 
 
--- a/marigoldhoist/components/operator/fleet.py
+++ b/marigoldhoist/components/operator/fleet.py
@@ -2,7 +2,6 @@
 
 import concurrent.futures
 
-import msgspec
 from result import Ok
 
 from marigoldhoist.components.hosts.models import HostRole
@@ -14,6 +13,7 @@
 )
 from marigoldhoist.components.operator.models import DaemonStatus, FleetStatus
 from marigoldhoist.components.peers.service import PeerService
+from marigoldhoist.core.decoding import decode_json
 
 
 class FleetStatusCollector:
@@ -47,4 +47,4 @@
         reply = self._peers.call(host, STATUS_TOPIC, b'', FLEET_TIMEOUT_S)
         if not isinstance(reply, Ok) or not reply.ok_value:
             return None
-        return msgspec.json.decode(reply.ok_value, type=DaemonStatus)
+        return decode_json(reply.ok_value, DaemonStatus)
--- a/marigoldhoist/components/operator/service.py
+++ b/marigoldhoist/components/operator/service.py
@@ -35,6 +35,7 @@
 from marigoldhoist.components.table.errors import ChangeRejected
 from marigoldhoist.components.table.models import TableChange
 from marigoldhoist.components.table.service import TableService
+from marigoldhoist.core.decoding import decode_json
 from marigoldhoist.core.identity import DaemonSettings
 from marigoldhoist.core.kernel import BaseService, Kernel
 
@@ -137,7 +138,7 @@
         return json_response(TableView(state.revision, rows))
 
     def _change_table(self, body: bytes) -> HttpResponse:
-        change = msgspec.json.decode(body, type=TableChange)
+        change = decode_json(body, TableChange)
         submission = self._table.submit(change)
         if isinstance(submission, Ok):
             offset = submission.ok_value.offset
--- a/marigoldhoist/components/peers/handover.py
+++ b/marigoldhoist/components/peers/handover.py
@@ -8,6 +8,7 @@
 from marigoldhoist.components.peers.service import PeerService
 from marigoldhoist.components.platform_log.models import Record
 from marigoldhoist.components.platform_log.work_writer import WorkWriter
+from marigoldhoist.core.decoding import decode_json
 from marigoldhoist.core.kernel import Kernel
 
 FLUSH_TIMEOUT_S: Final = 2.0
@@ -39,7 +40,7 @@
         def on_records(_sender: str, payload: bytes) -> bytes:
             if self._kernel.draining.is_set():
                 return b''
-            records = msgspec.json.decode(payload, type=tuple[Record, ...])
+            records = decode_json(payload, tuple[Record, ...])
             for record in records:
                 writer.submit_with_retry(record)
             return ACCEPTED
--- a/marigoldhoist/components/peers/link.py
+++ b/marigoldhoist/components/peers/link.py
@@ -23,6 +23,7 @@
 from marigoldhoist.components.peers.wire.link_grpc import PeerLinkStub
 from marigoldhoist.components.peers.wire.link_pb2 import Frame
 from marigoldhoist.core.clock import SYSTEM_CLOCK
+from marigoldhoist.core.decoding import decode_msgpack
 from marigoldhoist.core.identity import DaemonSettings
 
 FROM_DIALER = b'dialer'
@@ -159,6 +160,6 @@
 def _decode_hello(payload: bytes) -> Hello:
     """Return the peer's hello, or raise LinkError if it is unreadable."""
     try:
-        return msgspec.msgpack.decode(payload, type=Hello)
+        return decode_msgpack(payload, Hello)
     except msgspec.MsgspecError as error:
         raise LinkError(f'unreadable hello: {error}') from error
--- a/marigoldhoist/components/peers/listener.py
+++ b/marigoldhoist/components/peers/listener.py
@@ -23,6 +23,7 @@
 from marigoldhoist.components.peers.topics import TopicHandlers
 from marigoldhoist.components.peers.wire.link_grpc import PeerLinkBase
 from marigoldhoist.components.peers.wire.link_pb2 import Frame
+from marigoldhoist.core.decoding import decode_msgpack
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.identity import DaemonSettings
 
@@ -67,7 +68,7 @@
         if frame is None or frame.topic != HELLO_TOPIC:
             raise LinkError('first message is not a hello')
         authenticator.verify(frame, FROM_DIALER)
-        hello = msgspec.msgpack.decode(frame.payload, type=Hello)
+        hello = decode_msgpack(frame.payload, Hello)
         nonce = secrets.token_bytes(NONCE_BYTES)
         answer = Hello(self._daemon.host, self._daemon.failure_domain, nonce)
         reply = Frame(topic=HELLO_TOPIC, payload=msgspec.msgpack.encode(answer))
--- a/marigoldhoist/components/platform_log/client.py
+++ b/marigoldhoist/components/platform_log/client.py
@@ -21,6 +21,7 @@
     Record,
 )
 from marigoldhoist.components.platform_log.settings import LogSettings
+from marigoldhoist.core.decoding import decode_json
 
 HTTP_OK = 200
 HTTP_SERVER_ERROR = 500
@@ -41,7 +42,7 @@
         Raises LogUnavailableError if the body does not match the type.
         """
         try:
-            return msgspec.json.decode(body, type=self.reply_type)
+            return decode_json(body, self.reply_type)
         except msgspec.MsgspecError as error:
             raise LogUnavailableError(f'garbled answer: {error}') from error
 
--- a/marigoldhoist/components/quality/service.py
+++ b/marigoldhoist/components/quality/service.py
@@ -23,6 +23,7 @@
     OTHER_TASK,
     SHARE_INTERVAL_S,
 )
+from marigoldhoist.core.decoding import decode_msgpack
 from marigoldhoist.core.identity import DaemonSettings
 from marigoldhoist.core.kernel import BaseService, Kernel
 
@@ -99,7 +100,7 @@
             observer(observed)
 
     def _on_cells(self, sender: str, payload: bytes) -> None:
-        summary = msgspec.msgpack.decode(payload, type=Summary)
+        summary = decode_msgpack(payload, Summary)
         self._received.put((sender, summary))
 
     def _run(self) -> None:
--- a/marigoldhoist/components/quarantine/exchange.py
+++ b/marigoldhoist/components/quarantine/exchange.py
@@ -17,6 +17,7 @@
     HeldReport,
     QuarantineFinding,
 )
+from marigoldhoist.core.decoding import decode_msgpack
 
 
 def encode_finding(
@@ -66,7 +67,7 @@
 
 def decode_finding(payload: bytes) -> QuarantineFinding:
     """Return the decoded finding, or raise msgspec.MsgspecError."""
-    return msgspec.msgpack.decode(payload, type=QuarantineFinding)
+    return decode_msgpack(payload, QuarantineFinding)
 
 
 def crashes_of(finding: QuarantineFinding, created_s: float) -> list[Crash]:
--- a/marigoldhoist/components/quarantine/storage.py
+++ b/marigoldhoist/components/quarantine/storage.py
@@ -31,6 +31,7 @@
 )
 from marigoldhoist.core.clock import SystemClock
 from marigoldhoist.core.const import MS_PER_S
+from marigoldhoist.core.decoding import decode_json
 from marigoldhoist.core.events import emit
 
 
@@ -99,7 +100,7 @@
             if not record.value:
                 continue
             try:
-                stored = msgspec.json.decode(record.value, type=StoredPart)
+                stored = decode_json(record.value, StoredPart)
             except msgspec.MsgspecError as error:
                 emit(QUARANTINE_REPORT_IGNORED, reason=str(error))
                 continue
--- a/marigoldhoist/components/ratings/service.py
+++ b/marigoldhoist/components/ratings/service.py
@@ -18,6 +18,7 @@
 )
 from marigoldhoist.components.ratings.recent import RecentAnswer, RecentAnswers
 from marigoldhoist.components.ratings.settings import RatingSettings
+from marigoldhoist.core.decoding import decode_json
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.kernel import BaseService, Kernel
 
@@ -72,7 +73,7 @@
             f'?offset={self._offset}&limit={FETCH_LIMIT}'
         )
         reply = self._pool.request('GET', url, timeout=FETCH_TIMEOUT_S)
-        return msgspec.json.decode(reply.data, type=RatingPage)
+        return decode_json(reply.data, RatingPage)
 
     def _match(self, rating: Rating) -> None:
         answer = self._recent.pop((rating.workspace, rating.request_id))
--- a/marigoldhoist/components/relay/service.py
+++ b/marigoldhoist/components/relay/service.py
@@ -24,6 +24,7 @@
 )
 from marigoldhoist.components.snapshots.const import COMPONENT as SNAPSHOTS
 from marigoldhoist.components.snapshots.service import SnapshotService
+from marigoldhoist.core.decoding import decode_json, decode_msgpack
 from marigoldhoist.core.kernel import BaseService, Kernel
 
 
@@ -70,14 +71,14 @@
             self._peers.publish(POSITIONS_TOPIC, payload)
 
     def _on_positions(self, sender: str, payload: bytes) -> None:
-        positions = msgspec.msgpack.decode(payload, type=Positions)
+        positions = decode_msgpack(payload, Positions)
         for stream, offset in positions.next_offset_by_stream.items():
             feed = self._log.feeds_by_stream.get(stream)
             if feed is not None and offset > feed.next_offset:
                 self._pending_fetches.put((sender, stream))
 
     def _on_fetch(self, _sender: str, payload: bytes) -> bytes:
-        request = msgspec.msgpack.decode(payload, type=FetchRequest)
+        request = decode_msgpack(payload, FetchRequest)
         feed = self._log.feeds_by_stream.get(request.stream)
         if feed is None:
             return msgspec.json.encode(FetchReply(()))
@@ -105,7 +106,7 @@
         reply = self._peers.call(peer, FETCH_TOPIC, payload, FETCH_TIMEOUT_S)
         if not isinstance(reply, Ok) or not reply.ok_value:
             return False
-        fetched = msgspec.json.decode(reply.ok_value, type=FetchReply)
+        fetched = decode_json(reply.ok_value, FetchReply)
         if fetched.is_too_old and not feed.is_diverged:
             self._snapshots.fetch_from(peer, stream)
         feed.offer(fetched.entries)
--- a/marigoldhoist/components/sessions/fold.py
+++ b/marigoldhoist/components/sessions/fold.py
@@ -15,6 +15,7 @@
     PinSnapshot,
     SessionKey,
 )
+from marigoldhoist.core.decoding import decode_json
 
 
 class PinFold:
@@ -54,7 +55,7 @@
             self._evict_expired()
             if entry.record.kind != PIN_KIND:
                 return None
-            pin = msgspec.json.decode(entry.record.body, type=Pin)
+            pin = decode_json(entry.record.body, Pin)
             self._apply_pin(pin)
         return pin.key
 
@@ -67,7 +68,7 @@
 
     def restore(self, dumped: msgspec.Raw) -> None:
         """Replace all pins with those of a snapshot."""
-        snapshot = msgspec.json.decode(dumped, type=PinSnapshot)
+        snapshot = decode_json(dumped, PinSnapshot)
         with self._lock:
             self.newest_ms = snapshot.newest_ms
             self._entry_by_key = {
--- a/marigoldhoist/components/sessions/service.py
+++ b/marigoldhoist/components/sessions/service.py
@@ -30,6 +30,7 @@
 from marigoldhoist.components.sessions.pins import PinStore, encode_pin
 from marigoldhoist.components.sessions.settings import SessionSettings
 from marigoldhoist.components.sessions.tokens import SessionTokens
+from marigoldhoist.core.decoding import decode_msgpack
 from marigoldhoist.core.identity import DaemonSettings
 from marigoldhoist.core.kernel import BaseService, Kernel
 
@@ -60,7 +61,7 @@
             for peer in nearest_first[:MAX_QUERIED_PEERS]
         )
         return tuple(
-            msgspec.msgpack.decode(reply.ok_value, type=Pin)
+            decode_msgpack(reply.ok_value, Pin)
             for reply in replies
             if isinstance(reply, Ok) and reply.ok_value
         )
@@ -108,8 +109,8 @@
         return SessionStatus(len(self.pins.fold), self.pins.unlogged)
 
     def _on_pin(self, _sender: str, payload: bytes) -> None:
-        self.pins.merge(msgspec.msgpack.decode(payload, type=Pin))
+        self.pins.merge(decode_msgpack(payload, Pin))
 
     def _on_find(self, _sender: str, payload: bytes) -> bytes:
-        key = msgspec.msgpack.decode(payload, type=SessionKey)
+        key = decode_msgpack(payload, SessionKey)
         return encode_pin(self.pins.find(key))
--- a/marigoldhoist/components/sessions/tokens.py
+++ b/marigoldhoist/components/sessions/tokens.py
@@ -9,6 +9,7 @@
 
 from marigoldhoist.components.sessions.const import TOKEN_KEY_LABEL
 from marigoldhoist.components.sessions.models import Pin, SessionKey
+from marigoldhoist.core.decoding import decode_msgpack
 
 MAC_LENGTH_BYTES = hashlib.sha256().digest_size
 
@@ -40,6 +41,6 @@
         mac = hmac.digest(self._key, body, hashlib.sha256)
         if not hmac.compare_digest(mac, decoded[:MAC_LENGTH_BYTES]):
             return None
-        pin = msgspec.msgpack.decode(body, type=Pin)
+        pin = decode_msgpack(body, Pin)
         is_current = pin.proposed_ms >= now_ms - self._ttl_ms
         return pin if pin.key == key and is_current else None
--- a/marigoldhoist/components/snapshots/chunks.py
+++ b/marigoldhoist/components/snapshots/chunks.py
@@ -15,6 +15,7 @@
 from marigoldhoist.components.snapshots.const import CHUNK_BYTES, CHUNK_KIND
 from marigoldhoist.components.snapshots.events import SNAPSHOT_GARBLED
 from marigoldhoist.components.snapshots.models import SnapshotChunk
+from marigoldhoist.core.decoding import decode_json
 from marigoldhoist.core.events import emit
 
 
@@ -36,7 +37,7 @@
 
     Raises zlib.error or msgspec.MsgspecError if the content is corrupt.
     """
-    return msgspec.json.decode(zlib.decompress(content), type=FeedDump)
+    return decode_json(zlib.decompress(content), FeedDump)
 
 
 def split_dump(
@@ -83,7 +84,7 @@
         """
         if entry.record.kind != CHUNK_KIND:
             return None
-        chunk = msgspec.json.decode(entry.record.body, type=SnapshotChunk)
+        chunk = decode_json(entry.record.body, SnapshotChunk)
         chunks = self._chunks_by_id.setdefault(chunk.snapshot_id, {})
         chunks[chunk.index] = chunk
         if len(chunks) < chunk.count:
--- a/marigoldhoist/components/snapshots/service.py
+++ b/marigoldhoist/components/snapshots/service.py
@@ -28,6 +28,7 @@
 from marigoldhoist.components.snapshots.recovery import StreamRecovery
 from marigoldhoist.components.snapshots.settings import SnapshotSettings
 from marigoldhoist.components.snapshots.writer import SnapshotWriter
+from marigoldhoist.core.decoding import decode_msgpack
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.kernel import BaseService, Kernel
 
@@ -85,7 +86,7 @@
         return is_restored
 
     def _on_fetch(self, _sender: str, payload: bytes) -> bytes:
-        request = msgspec.msgpack.decode(payload, type=FetchRequest)
+        request = decode_msgpack(payload, FetchRequest)
         feed = self._log.feeds_by_stream.get(request.stream)
         return self._compressed_dump(feed) if feed else b''
 
--- a/marigoldhoist/components/table/dump.py
+++ b/marigoldhoist/components/table/dump.py
@@ -10,6 +10,7 @@
 )
 from marigoldhoist.components.table.state import TableState
 from marigoldhoist.components.table.tombstones import TombstonesByKey
+from marigoldhoist.core.decoding import decode_json
 
 
 class DumpedRow(msgspec.Struct, frozen=True):
@@ -52,7 +53,7 @@
 
     Raises msgspec.MsgspecError if the content does not match the schema.
     """
-    table = msgspec.json.decode(dumped, type=DumpedTable)
+    table = decode_json(dumped, DumpedTable)
     rows_by_key = {
         key: StoredRow(stored.revision, _decode_row(key, stored.row))
         for key, stored in table.rows_by_key.items()
@@ -63,4 +64,4 @@
 
 def _decode_row(key: str, content: msgspec.Raw) -> AnyRow:
     kind = key.partition('/')[0]
-    return msgspec.json.decode(content, type=row_type_by_kind[kind])
+    return decode_json(content, row_type_by_kind[kind])
--- a/marigoldhoist/components/table/fold.py
+++ b/marigoldhoist/components/table/fold.py
@@ -30,6 +30,7 @@
     tombstones_after,
 )
 from marigoldhoist.components.table.validation import check_table, decode_row
+from marigoldhoist.core.decoding import decode_json
 
 
 class RevisionConflictError(InvalidTableError):
@@ -85,7 +86,7 @@
 
     def _evaluate(self, entry: LogEntry) -> AuditEntry:
         try:
-            change = msgspec.json.decode(entry.record.body, type=TableChange)
+            change = decode_json(entry.record.body, TableChange)
         except msgspec.MsgspecError as error:
             return _undecodable_entry(entry, str(error))
         audit_entry = _accepted_entry(
--- a/marigoldhoist/components/table/validation.py
+++ b/marigoldhoist/components/table/validation.py
@@ -23,6 +23,7 @@
     WorkspaceRow,
     row_type_by_kind,
 )
+from marigoldhoist.core.decoding import decode_json
 
 
 def decode_row(edit: RowEdit) -> AnyRow | None:
@@ -39,7 +40,7 @@
     if bytes(edit.content) == bytes(DELETED_CONTENT):
         return None
     try:
-        return msgspec.json.decode(edit.content, type=row_type)
+        return decode_json(edit.content, row_type)
     except msgspec.MsgspecError as error:
         raise InvalidTableError(f'{edit.key}: {error}') from error
 
--- a/marigoldhoist/components/upstreams/probes.py
+++ b/marigoldhoist/components/upstreams/probes.py
@@ -19,6 +19,7 @@
 )
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.const import MS_PER_S
+from marigoldhoist.core.decoding import decode_json
 
 PROBE_HEADERS = {'Connection': 'close'}
 
@@ -82,6 +83,6 @@
 def _decoded(body: bytes) -> LoadReply:
     """Decode a load report; a plain service without one counts as idle."""
     try:
-        return msgspec.json.decode(body, type=LoadReply)
+        return decode_json(body, LoadReply)
     except msgspec.MsgspecError:
         return LoadReply()
--- a/marigoldhoist/components/upstreams/response.py
+++ b/marigoldhoist/components/upstreams/response.py
@@ -16,6 +16,7 @@
 )
 from marigoldhoist.components.upstreams.models import Replica
 from marigoldhoist.core.const import MS_PER_S
+from marigoldhoist.core.decoding import parse_integer
 
 
 class UpstreamResponse:
@@ -38,7 +39,7 @@
     def resumed_from(self) -> int:
         """Return how many tokens the engine skipped to resume a stream."""
         header = self._reply.headers.get(RESUMED_HEADER, '')
-        return int(header) if header.isdigit() else 0
+        return parse_integer(header) or 0
 
     @property
     def is_event_stream(self) -> bool:
--- a/marigoldhoist/platform/dialect.py
+++ b/marigoldhoist/platform/dialect.py
@@ -21,6 +21,7 @@
     ResponseMetadata,
 )
 from marigoldhoist.core.const import MS_PER_S
+from marigoldhoist.core.decoding import parse_integer
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
 from marigoldhoist.platform import const
 
@@ -118,7 +119,7 @@
             has_content_encoding=encoding not in {'', 'identity'},
             load=_parse_load(head.value(const.SERVER_LOAD)),
             announcement=_parse_announcement(head),
-            confidence=int(confidence) if confidence.isdigit() else None,
+            confidence=parse_integer(confidence),
             idle_timeout_s=float(idle_timeout[1]) if idle_timeout else None,
         )
 
@@ -218,8 +219,7 @@
 
 def _parse_int(text: str) -> int:
     """Return the non-negative integer in a text, zero if it is invalid."""
-    stripped = text.strip()
-    return int(stripped) if stripped.isascii() and stripped.isdigit() else 0
+    return parse_integer(text.strip()) or 0
 
 
 def _parse_milliseconds(text: str) -> float | None:
--- a/marigoldhoist/platform/events.py
+++ b/marigoldhoist/platform/events.py
@@ -30,3 +30,10 @@
 DAEMON_STOPPED = declare_event(
     3905, 'daemon_stopped', 'info', 'The daemon has shut down.'
 )
+RECORD_FAILED = declare_event(
+    3906,
+    'record_failed',
+    'error',
+    'A record in the store could not be applied because of an unexpected '
+    'error; the records after it are applied.',
+)
--- a/marigoldhoist/platform/records.py
+++ b/marigoldhoist/platform/records.py
@@ -4,7 +4,9 @@
 writer does not affect the records of the others.
 """
 
+import ipaddress
 from collections.abc import Iterator
+from typing import Annotated, Final, TypeAlias
 
 import msgspec
 
@@ -20,6 +22,17 @@
 from marigoldhoist.components.directory.models import ReplicaEntry
 from marigoldhoist.components.feeds.models import Position
 from marigoldhoist.core.const import MS_PER_S
+from marigoldhoist.core.decoding import decode_json, parse_integer
+
+# Bounds of the numbers in a registration; one with others is of no replica.
+MAX_PORT: Final = 65_535
+MAX_SLOTS: Final = 1_000_000
+MAX_TIME_MS: Final = 2**53
+MAX_ROLL_OUT_S: Final = 10**9
+
+Slots: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+UnixMilliseconds: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
+Milliseconds: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
 
 KIND_BY_NAME = {
     'safe': RequestKind.IDEMPOTENT,
@@ -118,10 +131,10 @@
     address: str
     zone: str
     version: str
-    slots: int
+    slots: Slots
     state: str
-    born: int
-    cold_ms: float = 0
+    born: UnixMilliseconds
+    cold_ms: Milliseconds = 0
 
 
 class RolloutRow(msgspec.Struct):
@@ -129,12 +142,12 @@
 
     service: str
     target: str
-    over_s: float
+    over_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_ROLL_OUT_S)]
 
 
 def decode_configuration(raw: bytes) -> Configuration:
     """Decode a configuration, or raise msgspec.DecodeError."""
-    row = msgspec.json.decode(raw, type=ConfigRow)
+    row = decode_json(raw, ConfigRow)
     routes_by_authority: dict[str, list[Route]] = {}
     for route in _routes(row):
         routes_by_authority.setdefault(route.authority, []).append(route)
@@ -162,17 +175,20 @@
 def decode_replica(host: str, raw: bytes) -> ReplicaEntry | None:
     """Decode a replica's registration; return None if it is invalid."""
     try:
-        row = msgspec.json.decode(raw, type=ServerRow)
+        row = decode_json(raw, ServerRow)
     except msgspec.DecodeError:
         return None
-    address, _, port = row.address.rpartition(':')
-    if not port.isdigit() or row.state not in {'ready', 'draining'}:
+    address, _, port_text = row.address.rpartition(':')
+    port = parse_integer(port_text) or 0
+    if not _is_ip_address(address) or not 0 < port <= MAX_PORT:
+        return None
+    if row.state not in {'ready', 'draining'}:
         return None
     return ReplicaEntry(
         host,
         row.service,
         address,
-        int(port),
+        port,
         row.zone,
         row.version,
         row.slots,
@@ -182,9 +198,17 @@
     )
 
 
+def _is_ip_address(text: str) -> bool:
+    try:
+        ipaddress.IPv4Address(text)
+    except ipaddress.AddressValueError:
+        return False
+    return True
+
+
 def decode_roll_out_order(raw: bytes, position: Position) -> RollOutOrder:
     """Decode a roll-out order, or raise msgspec.DecodeError."""
-    row = msgspec.json.decode(raw, type=RolloutRow)
+    row = decode_json(raw, RolloutRow)
     return RollOutOrder(
         row.service, row.target, row.over_s, position.offset, position.era
     )
--- a/marigoldhoist/platform/status_records.py
+++ b/marigoldhoist/platform/status_records.py
@@ -14,6 +14,7 @@
     RollOutStatus,
 )
 from marigoldhoist.components.canary.rejections import Rejection, Standing
+from marigoldhoist.core.decoding import decode_json
 from marigoldhoist.platform.const import (
     REJECTION_KEY_PREFIX,
     ROLL_OUT_KEY_PREFIX,
@@ -49,7 +50,7 @@
     if not key.startswith(ROLL_OUT_KEY_PREFIX):
         return None
     try:
-        row = msgspec.json.decode(raw, type=StatusRow)
+        row = decode_json(raw, StatusRow)
     except msgspec.DecodeError:
         return None
     state = STATE_BY_NAME.get(row.state)
@@ -64,7 +65,7 @@
     if not key.startswith(REJECTION_KEY_PREFIX):
         return None
     try:
-        row = msgspec.json.decode(raw, type=RejectionRow)
+        row = decode_json(raw, RejectionRow)
     except msgspec.DecodeError:
         return None
     return Rejection(
--- a/marigoldhoist/platform/store.py
+++ b/marigoldhoist/platform/store.py
@@ -35,6 +35,7 @@
     request_bytes,
 )
 from marigoldhoist.core.const import MS_PER_S
+from marigoldhoist.core.decoding import decode_json, parse_integer
 from marigoldhoist.core.identity import split_address
 from marigoldhoist.platform.const import (
     APPEND_LOG,
@@ -110,7 +111,7 @@
         """
         page, era = await self._fetch_newest_page(topic, None)
         end = page.end
-        records = list(_page_records(page))
+        records = list(page_records(page))
         while page.has_more and page.items:
             page, page_era = await self._fetch_newest_page(
                 topic, page.items[-1].key
@@ -119,7 +120,7 @@
                 raise StoreUnavailableError(
                     f'era {page_era} of a page after era {era}'
                 )
-            records.extend(_page_records(page))
+            records.extend(page_records(page))
         return Batch(tuple(records), end, era)
 
     async def read(self, topic: Topic, offset: int, wait_s: float) -> Batch:
@@ -180,7 +181,7 @@
         reply = await self._call('GET', target, b'', 0)
         _require_ok(reply)
         try:
-            return msgspec.json.decode(reply.body, type=NewestPage), reply.era
+            return decode_json(reply.body, NewestPage), reply.era
         except msgspec.DecodeError as error:
             raise StoreUnavailableError(f'unreadable page: {error}') from error
 
@@ -277,9 +278,10 @@
     text = head.value(STORE_ERA)
     if not text:
         return None
-    if not (text.isascii() and text.isdigit()):
+    era = parse_integer(text)
+    if era is None:
         raise StoreUnavailableError(f'store era {text!r} is not a number')
-    return int(text)
+    return era
 
 
 def _framed(record: NewRecord) -> bytes:
@@ -288,9 +290,14 @@
     return RECORD_LENGTH.pack(len(content)) + content
 
 
-def _page_records(page: NewestPage) -> Iterator[KeyedRecord]:
+def page_records(page: NewestPage) -> Iterator[KeyedRecord]:
+    """Yield the records of a page."""
     for item in page.items:
-        value = base64.b64decode(item.value)
+        try:
+            value = base64.b64decode(item.value)
+        except ValueError:
+            # The record is passed on, so that its reader finds it unreadable.
+            value = item.value.encode()
         yield KeyedRecord(item.key, value, item.offset)
 
 
--- a/marigoldhoist/platform/topic_handlers.py
+++ b/marigoldhoist/platform/topic_handlers.py
@@ -20,7 +20,7 @@
     CONFIGURATION_KEY,
     ROLL_OUT_KEY_PREFIX,
 )
-from marigoldhoist.platform.events import RECORD_UNREADABLE
+from marigoldhoist.platform.events import RECORD_FAILED, RECORD_UNREADABLE
 from marigoldhoist.platform.records import (
     decode_configuration,
     decode_replica,
@@ -69,6 +69,9 @@
                 )
         except msgspec.DecodeError as error:
             _log_unreadable(record, str(error))
+        except Exception as error:
+            # The records after it must not be lost with it.
+            _log_failed(record, error)
 
 
 class ReplicaTopicHandler:
@@ -83,7 +86,13 @@
         healthy_for_s = self._feeds.feed_by_topic[Topic.REPLICAS].healthy_for_s
         record_by_key = {record.key: record for record in update.batch.records}
         for record in record_by_key.values():
-            self._apply(record, healthy_for_s, is_restored=update.is_new_era)
+            try:
+                self._apply(
+                    record, healthy_for_s, is_restored=update.is_new_era
+                )
+            except Exception as error:
+                # The records after it must not be lost with it.
+                _log_failed(record, error)
         if update.is_whole:
             self._directory.keep_only(record_by_key, healthy_for_s)
 
@@ -113,12 +122,20 @@
     def handle_update(self, update: FeedUpdate) -> None:
         """Apply the records of one read."""
         for record in update.batch.records:
-            status = decode_roll_out_status(record.key, record.value or b'')
-            if status is not None:
-                self._canary.handle_status(status, update.batch.era)
-            rejection = decode_rejection(record.key, record.value or b'')
-            if rejection is not None:
-                self._canary.handle_rejection(rejection, update.batch.era)
+            try:
+                self._apply(record, update.batch.era)
+            except Exception as error:
+                # The records after it must not be lost with it.
+                _log_failed(record, error)
+
+    def _apply(self, record: KeyedRecord, era: int | None) -> None:
+        raw = record.value or b''
+        status = decode_roll_out_status(record.key, raw)
+        if status is not None:
+            self._canary.handle_status(status, era)
+        rejection = decode_rejection(record.key, raw)
+        if rejection is not None:
+            self._canary.handle_rejection(rejection, era)
 
 
 def _seconds_since(confirmed_s: float) -> float | None:
@@ -135,3 +152,12 @@
         offset=record.offset,
         reason=reason,
     )
+
+
+def _log_failed(record: KeyedRecord, error: Exception) -> None:
+    emit(
+        RECORD_FAILED,
+        key=record.key,
+        offset=record.offset,
+        error=repr(error),
+    )
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -63,7 +63,9 @@
         repeated.headers.append((name.lower().encode(), b'other'))
         assert isinstance(DIALECT.parse_call(repeated, 0), RequestFailure)
 
-    @pytest.mark.parametrize('text', ('', '-5', '1e3', '٣', '99999999999999x'))
+    @pytest.mark.parametrize(
+        'text', ('', '-5', '1e3', '٣', '99999999999999x', '1' * 5000)
+    )
     def test_invalid_numbers_are_ignored(self, text: str) -> None:
         invalid = head(Request_Deadline='5')
         invalid.headers[-1] = (b'Request-Deadline', text.encode())
@@ -138,6 +140,14 @@
         assert metadata.announcement.limit_per_s == 2.5
         assert (metadata.confidence, metadata.idle_timeout_s) == (40, 10)
 
+    @pytest.mark.parametrize('text', ('²', '1' * 5000, '-1', ''))
+    def test_odd_confidence_is_none(self, text: str) -> None:
+        headers = [(b'Confidence', text.encode('latin-1'))]
+        metadata = DIALECT.parse_response_metadata(
+            MessageHead(headers, status=200)
+        )
+        assert metadata.confidence is None
+
     def test_requests_that_were_not_run(self) -> None:
         not_run = MessageHead([(b'Not-Executed', b'1')], status=503)
         assert DIALECT.parse_response_metadata(not_run).was_not_run
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -28,6 +28,10 @@
 }
 
 
+DEPTH = 100_000
+NESTED_DEEPLY = f'{{"other":{"[" * DEPTH}{"]" * DEPTH}}}'.encode()
+
+
 class TestConfiguration:
     """Decoding of the operator's configuration."""
 
@@ -48,10 +52,10 @@
         assert decoded.route('calls.example', '/safe/x') is None
 
     @pytest.mark.parametrize(
-        'raw', (b'', b'{}', b'[1]', b'\xff', b'{"version"')
+        'raw', (b'', b'{}', b'[1]', b'\xff', b'{"version"', NESTED_DEEPLY)
     )
     def test_invalid_configuration_raises(self, raw: bytes) -> None:
-        with pytest.raises((msgspec.DecodeError, UnicodeDecodeError)):
+        with pytest.raises(msgspec.DecodeError):
             decode_configuration(raw)
 
 
@@ -73,6 +77,16 @@
             {'slots': 'many'},
             {'born': None},
             {'service': 7},
+            {'address': '10.0.0.1:0'},
+            {'address': '10.0.0.1:99999'},
+            {'address': '10.0.0.1:²'},
+            {'address': f'10.0.0.1:{"1" * 5000}'},
+            {'address': '10.0.0.1\x00:80'},
+            {'address': f'{"h" * 70_000}:80'},
+            {'slots': -16},
+            {'slots': 10**400},
+            {'born': 10**400},
+            {'cold_ms': 10**400},
         ),
     )
     def test_invalid_registration_is_rejected(
@@ -81,7 +95,9 @@
         raw = json.dumps({**REGISTRATION, **overrides}).encode()
         assert decode_replica('i-1', raw) is None
 
-    @pytest.mark.parametrize('raw', (b'', b'\xff\xfe', b'null', b'{'))
+    @pytest.mark.parametrize(
+        'raw', (b'', b'\xff\xfe', b'null', b'{', NESTED_DEEPLY)
+    )
     def test_malformed_registration_is_rejected(self, raw: bytes) -> None:
         assert decode_replica('i-1', raw) is None
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -15,7 +15,12 @@
     Position,
     Topic,
 )
-from marigoldhoist.platform.store import PlatformStore
+from marigoldhoist.platform.store import (
+    NewestItem,
+    NewestPage,
+    PlatformStore,
+    page_records,
+)
 from tests.platform.harness import HOST
 from tools.platform_standins.store import STATUS_TOPIC, StandInStore, StoreFault
 
@@ -29,6 +34,16 @@
     return fake_store, PlatformStore(fake_store.address)
 
 
+class TestPages:
+    """A page of the newest records."""
+
+    def test_value_that_is_no_base64_spoils_no_other(self) -> None:
+        items = [NewestItem('a', 'x', 0), NewestItem('b', 'aGk=', 1)]
+        records = list(page_records(NewestPage(items, False, 2)))
+        assert [record.key for record in records] == ['a', 'b']
+        assert records[1].value == b'hi'
+
+
 class TestReads:
     """Reads of the newest records and of the log tail."""
 
--- a/tests/test_log_lines.py
+++ b/tests/test_log_lines.py
@@ -82,6 +82,7 @@
     'STATUS_NOT_WRITTEN': {'service', 'target', 'state', 'expected_end'}
     | {'reason'},
     'STORE_LOST': {'topic', 'reasons', 'age_s'},
+    'RECORD_FAILED': {'key', 'offset', 'error'},
     'LATE_READ_FAILED': {'topic', 'error'},
     'ERA_CHANGED': {'topic', 'source', 'era', 'before', 'end'},
     'ERA_REJECTED': {'topic', 'source', 'era', 'known_era'},
