Answer the calls that a stop would cut, and accept none that may be

Cause: a plain call was accepted while 1.5 s were left, whatever its route allows, and what ran at the end got no answer at all.

Fix: a call that may not be repeated is accepted only if it has to end in time by its deadline or its route's time-out; one that may be repeated is also while the balancer still sends calls here. Any other is refused at once as not run, so that the caller goes to another daemon. A plain call without an answer 0.2 s before the end of the stop gets a failure that says truly whether it may have run.

Evidence: both tests of test_late_in_stop.py fail before: no call of 31 has an answer at the end of the stop. Now all 31 have one. Streams are broken off at the end as before, so that callers resume them elsewhere.

--- a/marigoldhoist/components/gateway/context.py
+++ b/marigoldhoist/components/gateway/context.py
@@ -26,7 +26,10 @@
 from marigoldhoist.components.gateway.request_log import RequestLogLimiter
 from marigoldhoist.components.gateway.retry_budgets import RetryBudgets
 from marigoldhoist.components.gateway.sender import Sender
-from marigoldhoist.components.gateway.shutdown import ShutdownProgress
+from marigoldhoist.components.gateway.shutdown import (
+    CallTimeouts,
+    ShutdownProgress,
+)
 from marigoldhoist.components.mirrors.service import find_membership
 from marigoldhoist.components.quarantine.service import (
     QuarantineService,
@@ -52,6 +55,7 @@
     retry_budgets: RetryBudgets
     dialect: Dialect
     shutdown_progress: Callable[[], ShutdownProgress | None]
+    call_timeouts: CallTimeouts
     metrics: GatewayMetrics
     log_limiter: RequestLogLimiter
 
@@ -87,6 +91,7 @@
         retry_budgets=RetryBudgets(objectives),
         dialect=dialect,
         shutdown_progress=shutdown_progress,
+        call_timeouts=CallTimeouts(),
         metrics=GatewayMetrics(kernel.metrics),
         log_limiter=RequestLogLimiter(),
     )
--- a/marigoldhoist/components/gateway/exchange.py
+++ b/marigoldhoist/components/gateway/exchange.py
@@ -1,6 +1,7 @@
 """Lifecycle of one caller's request, from admission to final response."""
 
 import asyncio
+import contextlib
 
 from marigoldhoist.components.configuration.models import Route
 from marigoldhoist.components.gateway import handover_headers
@@ -84,13 +85,29 @@
         delivery = delivery_by_kind[route.kind](
             self._progress, self._attempts, self._writer, self._context
         )
-        async with asyncio.timeout(self._progress.time_left_s):
+        async with self._time_limit(route):
             await deliver(route, delivery, self._attempts)
 
+    def _time_limit(
+        self, route: Route
+    ) -> contextlib.AbstractAsyncContextManager[object]:
+        """Return the time limit of the call, which a stop may bring forward."""
+        time_left_s = self._progress.time_left_s
+        if route.is_stream:
+            return asyncio.timeout(time_left_s)
+        shutdown = self._context.shutdown_progress()
+        if shutdown is not None:
+            time_left_s = min(time_left_s, shutdown.answer_time_left_s)
+        return self._context.call_timeouts.within(time_left_s)
+
     def _require_time_to_finish(self, route: Route) -> None:
         """Raise RefusedError if a graceful stop would abort the response."""
         shutdown = self._context.shutdown_progress()
-        if shutdown is None or shutdown.accepts(is_stream=route.is_stream):
+        if shutdown is None or shutdown.accepts(
+            is_stream=route.is_stream,
+            is_repeatable=route.is_repeatable,
+            allowed_s=self._progress.time_left_s,
+        ):
             return
         raise RefusedError(
             self._context.admission.refusal(
--- a/marigoldhoist/components/gateway/service.py
+++ b/marigoldhoist/components/gateway/service.py
@@ -34,7 +34,10 @@
 from marigoldhoist.components.gateway.prober import ReplicaProber
 from marigoldhoist.components.gateway.server import CallerServer
 from marigoldhoist.components.gateway.settings import GatewaySettings
-from marigoldhoist.components.gateway.shutdown import ShutdownProgress
+from marigoldhoist.components.gateway.shutdown import (
+    LAST_ANSWERS_S,
+    ShutdownProgress,
+)
 from marigoldhoist.components.gateway.state_gauges import StateGauges
 from marigoldhoist.core.background import start_background
 from marigoldhoist.core.clock import SYSTEM_CLOCK
@@ -124,6 +127,7 @@
             open=self._server.open_count,
             serving=self._server.serving_count,
         )
+        self.context.call_timeouts.end_within(self._grace_s - LAST_ANSWERS_S)
         await asyncio.sleep(min(BALANCER_DETECTION_S, self._grace_s))
         while SYSTEM_CLOCK.monotonic_s() < self._stop_started_s + self._grace_s:
             self._server.close_idle()
