--- a/marigoldhoist/components/feeds/queries.py
+++ b/marigoldhoist/components/feeds/queries.py
@@ -40,7 +40,10 @@
 
 
 class SourceQueries:
-    """Sends the reads of one topic to its sources."""
+    """Sends the reads of one topic to its sources.
+
+    Each is sent from the `position` that the owner last set.
+    """
 
     def __init__(self, topic: Topic, clock: SystemClock) -> None:
         self._topic = topic
--- a/marigoldhoist/components/mirrors/service.py
+++ b/marigoldhoist/components/mirrors/service.py
@@ -154,7 +154,7 @@
 
     @property
     def _has_roll_outs(self) -> bool:
-        """Return whether daemons decide by findings on which they depend."""
+        """Return whether roll-outs are open, which findings decide."""
         return Topic.STATUS in self._feeds.feed_by_topic
 
     async def _gossip_once(self) -> None:
