--- a/tests/components/feeds/test_feed.py
+++ b/tests/components/feeds/test_feed.py
@@ -1,6 +1,7 @@
 """Tests of feeds: the order of reads, the age and the mirrored records."""
 
 import asyncio
+import functools
 from collections.abc import Callable, Iterable
 
 import pytest
@@ -180,16 +181,12 @@
 
 
 class SilentSource(ScriptedSource):
-    """A source that answers only once the test allows it."""
+    """A source that answers only once the test has released it."""
 
-    def __init__(
-        self,
-        clock: ManualClock,
-        name: str,
-        script: Iterable[ReadResult | Exception],
-    ) -> None:
-        super().__init__(clock, name, script)
-        self.released = asyncio.Event()
+    @functools.cached_property
+    def released(self) -> asyncio.Event:
+        """Return the event that lets the source answer."""
+        return asyncio.Event()
 
     async def read(
         self, topic: Topic, position: Position | None, wait_s: float
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -27,6 +27,11 @@
 KEY: Final = 'k1'
 MODELS: Final = ('m0', 'm1', 'm2')
 TEST_TIMEOUT_S: Final = 10.0
+NESTING_DEPTH: Final = 100_000
+# JSON that no decoder reads, in a field that no record has.
+NESTED_DEEPLY: Final = (
+    f'{{"other":{"[" * NESTING_DEPTH}{"]" * NESTING_DEPTH}}}'.encode()
+)
 request_numbers = itertools.count(1)
 
 
--- a/tests/platform/test_odd_registrations.py
+++ b/tests/platform/test_odd_registrations.py
@@ -6,12 +6,15 @@
 
 import pytest
 
-from tests.platform.harness import GatewayHarness, running_gateway
+from tests.platform.harness import (
+    NESTED_DEEPLY,
+    TEST_TIMEOUT_S,
+    GatewayHarness,
+    running_gateway,
+)
 from tools.platform_standins.store import REPLICAS_TOPIC
 
 CALLS: Final = 40
-DEPTH: Final = 100_000
-NESTED_DEEPLY: Final = f'{{"other":{"[" * DEPTH}{"]" * DEPTH}}}'.encode()
 ODD_FIELDS: Final[dict[str, dict[str, Any]]] = {
     'port-of-no-ascii-digit': {'address': '127.0.0.1:²'},
     'port-of-many-digits': {'address': f'127.0.0.1:{"1" * 5000}'},
@@ -29,7 +32,7 @@
     # No await comes between the two, so that one read returns both.
     harness.store.topic_by_name[REPLICAS_TOPIC].append('odd', odd)
     await harness.store.put_raw(REPLICAS_TOPIC, 'p1', b'')
-    async with asyncio.timeout(5):
+    async with asyncio.timeout(TEST_TIMEOUT_S):
         while 'p1' in directory.replica_by_host:
             await asyncio.sleep(0.01)
     responses = [await harness.call('/safe/x') for _ in range(CALLS)]
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -13,7 +13,7 @@
     decode_replica,
     decode_roll_out_order,
 )
-from tests.platform.harness import configuration
+from tests.platform.harness import NESTED_DEEPLY, configuration
 
 REGISTRATION = {
     'service': 's',
@@ -28,10 +28,6 @@
 }
 
 
-DEPTH = 100_000
-NESTED_DEEPLY = f'{{"other":{"[" * DEPTH}{"]" * DEPTH}}}'.encode()
-
-
 class TestConfiguration:
     """Decoding of the operator's configuration."""
 
