--- a/review/standins.py
+++ b/review/standins.py
@@ -35,6 +35,8 @@
 KEY: Final = 'n2ctnfzs989anu6wsjnb'
 TENANT: Final = 'hule930'
 HEARTBEAT_S: Final = 1.2
+# Start of the line that names the exception which ended a process.
+EXCEPTION_START: Final = 'RuntimeError: Cannot'
 READY_TIMEOUT_S: Final = 60.0
 # Exit statuses of a scenario; run.sh turns all others into "not run".
 HELD: Final = 0
@@ -147,6 +149,7 @@
         self.handler: Handler = answer_small
         self.state = 'ready'
         self.version = 'v1'
+        self.slots = 8
         self.born = int(time.time() * 1000)
         self.address = ''
         self.sequence = 0
@@ -168,7 +171,7 @@
             'address': self.address,
             'zone': self.zone,
             'version': self.version,
-            'slots': 8,
+            'slots': self.slots,
             'state': self.state,
             'cold_ms': 0,
             'sequence': self.sequence,
@@ -187,7 +190,7 @@
         return {
             'Request-Id': request.request_id,
             'Response-Seal': f'seal.{self.name}.{request.request_id}',
-            'Server-Load': f'{len(self._writers)},0,8',
+            'Server-Load': f'{len(self._writers)},0,{self.slots}',
             'Keep-Alive': 'timeout=10',
         }
 
@@ -294,6 +297,12 @@
         if self.process is not None:
             self.process.wait()
 
+    def error_lines(self) -> list[str]:
+        """Return the lines of the output that name an exception."""
+        path = self._folder / f'{self.name}.log'
+        lines = path.read_text(encoding='utf-8').splitlines()
+        return [line for line in lines if line.startswith(EXCEPTION_START)]
+
     async def wait_until_ready(self) -> None:
         """Wait until the readiness check answers 200."""
         async with asyncio.timeout(READY_TIMEOUT_S):
