--- a/review/4/script.py
+++ b/review/4/script.py
@@ -141,7 +141,7 @@
             await deployment.add_replica(f'i-{number}', 'pult-narudzbe')
         host, _, port = deployment.store.address.partition(':')
         link = await deployment.add_link((host, int(port)))
-        await deployment.start_gateways(3, link.address)
+        await deployment.start_gateways(3, link.address, zones='a')
         clients = Clients(deployment, record)
         tasks = [
             asyncio.create_task(clients.run(number))
--- a/review/standins.py
+++ b/review/standins.py
@@ -513,11 +513,13 @@
         """Write the entry of a replica."""
         await self.store.put(REPLICAS_TOPIC, replica.name, replica.entry())
 
-    async def start_gateways(self, count: int, store_address: str) -> None:
-        """Start gateways in as many zones and wait until all are ready."""
+    async def start_gateways(
+        self, count: int, store_address: str, zones: str = 'abc'
+    ) -> None:
+        """Start gateways in zones by turns and wait until all are ready."""
         self._beats = asyncio.create_task(self._beat_all())
         for number in range(count):
-            zone = f'zone-{"abc"[number % 3]}'
+            zone = f'zone-{zones[number % len(zones)]}'
             self.gateways.append(
                 Gateway(f'front-{zone}-{number}', zone, self.folder)
             )
