Leave expired timeouts alone when a stop brings them forward

Cause: CallTimeouts.end_within rescheduled every timeout in flight. asyncio raises RuntimeError for one that has expired and whose call is still cleaning up. The error ended the process 0.2 s after SIGTERM.

Why it works: an expired call ends by itself; only pending timeouts are moved.

--- a/marigoldhoist/components/gateway/service.py
+++ b/marigoldhoist/components/gateway/service.py
@@ -122,12 +122,15 @@
         """Complete the requests in flight within the stop grace period."""
         self.is_stopping = True
         self._stop_started_s = SYSTEM_CLOCK.monotonic_s()
+        timed_out = self.context.call_timeouts.end_within(
+            self._grace_s - LAST_ANSWERS_S
+        )
         emit(
             STOP_BEGUN,
             open=self._server.open_count,
             serving=self._server.serving_count,
+            timed_out=timed_out,
         )
-        self.context.call_timeouts.end_within(self._grace_s - LAST_ANSWERS_S)
         await asyncio.sleep(min(BALANCER_DETECTION_S, self._grace_s))
         while SYSTEM_CLOCK.monotonic_s() < self._stop_started_s + self._grace_s:
             self._server.close_idle()
--- a/marigoldhoist/components/gateway/shutdown.py
+++ b/marigoldhoist/components/gateway/shutdown.py
@@ -74,8 +74,14 @@
             finally:
                 self._timeouts.discard(timeout)
 
-    def end_within(self, time_left_s: float) -> None:
-        """Let the calls in flight time out in so many seconds at the latest."""
+    def end_within(self, time_left_s: float) -> int:
+        """Let the calls in flight time out in so many seconds at the latest.
+
+        Return how many have timed out already, but have not ended yet. Their
+        timeouts can no longer be rescheduled.
+        """
         end_s = asyncio.get_running_loop().time() + time_left_s
-        for timeout in self._timeouts:
+        pending = [item for item in self._timeouts if not item.expired()]
+        for timeout in pending:
             timeout.reschedule(min(timeout.when() or end_s, end_s))
+        return len(self._timeouts) - len(pending)
