Keep an unsure answer on streams that may not be resumed

Cause: the escalation to a larger model discards an answer, which is a run, and did not ask whether the route may be repeated.

The test failed before (asked m0 and m2). model_raised stood between the two sends of each call, and no attempt_failed did.

Why it works: only a repeatable call is sent again, as for all other second sends.

--- a/marigoldhoist/components/gateway/stream_delivery.py
+++ b/marigoldhoist/components/gateway/stream_delivery.py
@@ -121,10 +121,11 @@
     def _escalate_model(self, route: Route, response: ReplicaResponse) -> bool:
         """Discard a low-confidence response if a larger model is to be used.
 
-        Return whether the call is to be sent again with the larger model.
+        Return whether the call is to be sent again with the larger model. The
+        discarded response is a run, so only a repeatable call is sent again.
         """
         progress = self._progress
-        if response.is_from_peer:
+        if response.is_from_peer or not route.is_repeatable:
             return False
         usable = self._context.directory.usable(progress.service)
         escalation = EscalationContext(
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -53,15 +53,16 @@
 
 def configuration(version: int, **overrides: Any) -> dict[str, Any]:
     """Return a configuration with at least one route of each kind."""
-    stream = {'service': 'model', 'kind': 'streaming', 'can_resume': True}
+    model = {'service': 'model', 'kind': 'streaming', 'sizes': list(MODELS)}
     return {
         'version': version,
         'routes': [
             route('safe'),
             route('unsafe', kind='unsafe', max_attempts=1),
             route('unsafe2', kind='unsafe', max_attempts=2),
-            route('stream', sizes=list(MODELS), max_attempts=3, **stream),
-            route('once', sizes=list(MODELS), max_attempts=1, **stream),
+            route('stream', max_attempts=3, can_resume=True, **model),
+            route('once', max_attempts=1, can_resume=True, **model),
+            route('unresumable', max_attempts=3, **model),
         ],
         'services': [{'name': 'plain'}, {'name': 'model'}],
         'tenants': [{'name': 'w1', 'api_keys': [KEY], 'priority': 1}],
--- a/tests/platform/test_responses.py
+++ b/tests/platform/test_responses.py
@@ -36,6 +36,20 @@
         return response, harness.run_count(prefix)
 
 
+async def unsure_stream(path: str) -> tuple[CallerResponse, list[str]]:
+    """Return a stream of unsure replicas and the models that ran for it."""
+    async with running_gateway() as harness:
+        for replica in harness.replica_by_name.values():
+            replica.confidence = 5
+        response = await harness.stream(path)
+        models = [
+            run.headers['model']
+            for replica in harness.replica_by_name.values()
+            for run in replica.executed_requests
+        ]
+        return response, sorted(models)
+
+
 class TestAtMostOnce:
     """Calls that may run at most once."""
 
@@ -209,22 +223,16 @@
         assert not response.is_complete
 
     def test_low_confidence_escalates_to_the_largest_model(self) -> None:
-        async def scenario() -> tuple[CallerResponse, list[str]]:
-            async with running_gateway() as harness:
-                for replica in harness.replica_by_name.values():
-                    replica.confidence = 5
-                response = await harness.stream()
-                asked = [
-                    run.headers['model']
-                    for replica in harness.replica_by_name.values()
-                    for run in replica.executed_requests
-                ]
-                return response, sorted(asked)
-
-        response, asked = asyncio.run(scenario())
+        response, asked = asyncio.run(unsure_stream('/stream/x'))
         assert asked == ['m0', 'm2']
         assert response.events == [1, 2, 3, 4]
 
+    def test_unsure_stream_that_may_not_be_resumed_runs_once(self) -> None:
+        # Guards against a second run of a call that may run once at most.
+        response, asked = asyncio.run(unsure_stream('/unresumable/x'))
+        assert asked == ['m0']
+        assert response.events == [1, 2, 3, 4]
+
     def test_caller_resumes_after_its_last_event(self) -> None:
         async def scenario() -> CallerResponse:
             async with running_gateway() as harness:
