Confirm a configuration only by reads that reach the end of the topic

Cause: the store truncates an answer at 1,024 KB and gives the topic's end in its head. The client ignored the end, and the feed took the truncated answer as proof that everything from before the read was known.

Why it works: a truncated answer is applied without renewing the age, which is what admits keyed calls here and in daemons that read from this one.

--- a/marigoldhoist/components/feeds/events.py
+++ b/marigoldhoist/components/feeds/events.py
@@ -30,6 +30,13 @@
     'info',
     'Older records are gone; the newest record of every key is read instead.',
 )
+READ_TRUNCATED = declare_event(
+    3407,
+    'read_truncated',
+    'info',
+    'A source had more records than fit into its answer; the records are not '
+    'confirmed as the newest until the rest was read.',
+)
 LATE_READ_FAILED = declare_event(
     3406,
     'late_read_failed',
--- a/marigoldhoist/components/feeds/feed.py
+++ b/marigoldhoist/components/feeds/feed.py
@@ -8,21 +8,17 @@
 from collections.abc import Callable
 from typing import Final
 
-from marigoldhoist.components.feeds.const import (
-    MAX_BACKOFF_S,
-    MAX_STALENESS_S,
-    MIN_BACKOFF_S,
-)
+from marigoldhoist.components.feeds.const import MAX_STALENESS_S
 from marigoldhoist.components.feeds.eras import EraTracker
 from marigoldhoist.components.feeds.errors import (
     HistoryLostError,
     StoreUnavailableError,
 )
 from marigoldhoist.components.feeds.events import (
-    STORE_LOST,
-    STORE_REGAINED,
+    READ_TRUNCATED,
     TOPIC_READ_ANEW,
 )
+from marigoldhoist.components.feeds.feed_health import FeedHealth
 from marigoldhoist.components.feeds.mirror import TopicMirror
 from marigoldhoist.components.feeds.models import (
     Batch,
@@ -36,7 +32,6 @@
 from marigoldhoist.core.clock import SYSTEM_CLOCK, SystemClock
 from marigoldhoist.core.events import emit
 
-BACKOFF_GROWTH: Final = 2
 PEER: Final = 'peer'
 
 
@@ -60,7 +55,8 @@
 class FeedUpdate:
     """The outcome of one successful read of a topic.
 
-    Every change accepted before the boot time `confirmed_s` is known.
+    Every change accepted before the boot time `confirmed_s` is known. A read
+    that does not reach the end of the topic confirms nothing.
     `previously_confirmed_s` is that time before this read, negative infinity
     for the first read. If `is_whole`, the records are the newest of all keys,
     so a key that is missing no longer exists. If `is_new_era`, the source was
@@ -113,10 +109,9 @@
         self._mirror = TopicMirror()
         self._eras = EraTracker(plan.topic, clock.boottime_s)
         self._confirmed_s = -math.inf
+        self._is_truncated = False
         self.is_from_peer = False
-        self._lost_since_s: float | None = None
-        self._regained_s = -math.inf
-        self._backoff_s = MIN_BACKOFF_S
+        self._health = FeedHealth(plan.topic, clock)
         self._reason_by_source: dict[str, str] = {}
         self._queries = SourceQueries(plan.topic, clock)
 
@@ -147,8 +142,8 @@
 
     @property
     def is_lost(self) -> bool:
-        """Return whether no source gave a usable answer at the last read."""
-        return self._lost_since_s is not None
+        """Return whether reads fail, or have left records unread since."""
+        return self._health.is_lost
 
     @property
     def healthy_for_s(self) -> float:
@@ -157,10 +152,7 @@
         A change of the era counts as a failure. Infinite if no read has failed
         so far.
         """
-        if self.is_lost:
-            return 0
-        regained_for_s = self._clock.boottime_s() - self._regained_s
-        return min(regained_for_s, self._eras.age_s)
+        return min(self._health.healthy_for_s, self._eras.age_s)
 
     def records_from(self, offset: int) -> list[KeyedRecord]:
         """Return the newest record of each key, starting at an offset."""
@@ -175,9 +167,7 @@
         try:
             while True:
                 is_usable = await self.read_once()
-                await asyncio.sleep(
-                    self._note_healthy() if is_usable else self._note_lost()
-                )
+                await asyncio.sleep(self._pause_after_read(is_usable))
         finally:
             self._queries.cancel()
 
@@ -239,8 +229,12 @@
             self._count_outcome('era_changed')
         previously_confirmed_s = self._confirmed_s
         confirmed_s = query.sent_s - result.age_s
-        if result.is_settling or self.is_settling:
-            # A lost record may not have been written again yet.
+        self._is_truncated = result.batch.is_truncated
+        if self._is_truncated:
+            self._note_truncated(result.batch)
+        if result.is_settling or self.is_settling or self._is_truncated:
+            # There may be newer records: lost ones that were not written again
+            # yet, or those behind the end of the answer.
             confirmed_s = previously_confirmed_s
         self._confirmed_s = max(self._confirmed_s, confirmed_s)
         self._mirror.apply(result.batch, is_whole=result.is_whole)
@@ -256,32 +250,25 @@
         )
         return result
 
-    def _note_lost(self) -> float:
-        """Note that a read failed; return the pause until the next."""
-        pause_s = self._backoff_s
-        self._backoff_s = min(MAX_BACKOFF_S, pause_s * BACKOFF_GROWTH)
-        if self._lost_since_s is not None:
-            return pause_s
-        self._lost_since_s = self._clock.boottime_s()
+    def _note_truncated(self, batch: Batch) -> None:
+        """Note that the source has more records than it returned."""
+        self._count_outcome('truncated')
         emit(
-            STORE_LOST,
+            READ_TRUNCATED,
             topic=self._plan.topic.value,
-            reasons=dict(self._reason_by_source),
+            records=len(batch.records),
+            end=batch.end,
             age_s=self._known_age_s,
         )
-        return pause_s
-
-    def _note_healthy(self) -> float:
-        """Note that a read succeeded; return the pause until the next."""
-        self._backoff_s = MIN_BACKOFF_S
-        if self._lost_since_s is None:
-            return self._plan.pause_s
-        now_s = self._clock.boottime_s()
-        emit(
-            STORE_REGAINED,
-            topic=self._plan.topic.value,
-            lost_for_s=round(now_s - self._lost_since_s, 3),
-        )
-        self._lost_since_s = None
-        self._regained_s = now_s
+
+    def _pause_after_read(self, is_usable: bool) -> float:
+        """Note the outcome of a read; return the pause until the next."""
+        if not is_usable:
+            return self._health.note_lost(
+                self._reason_by_source, self._known_age_s
+            )
+        if self._is_truncated:
+            # The rest is read before the feed counts as healthy.
+            return 0
+        self._health.note_healthy()
         return self._plan.pause_s
--- a/marigoldhoist/components/feeds/models.py
+++ b/marigoldhoist/components/feeds/models.py
@@ -45,12 +45,14 @@
     """Records in offset order and `end`, the next offset to read.
 
     `era` is the era of the source in which the offsets are valid, None if the
-    source reports none.
+    source reports none. If `is_truncated`, the source had more records from
+    `end` on than fit into its answer.
     """
 
     records: tuple[KeyedRecord, ...]
     end: int
     era: int | None = None
+    is_truncated: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/marigoldhoist/platform/store.py
+++ b/marigoldhoist/platform/store.py
@@ -124,7 +124,12 @@
         return Batch(tuple(records), end, era)
 
     async def read(self, topic: Topic, offset: int, wait_s: float) -> Batch:
-        """Return the records from an offset, with a long poll for the first."""
+        """Return the records from an offset, with a long poll for the first.
+
+        The store limits the size of an answer; the next read continues it.
+        Raises StoreUnavailableError if an answer has none of the records that
+        it says there are.
+        """
         target = _request_target(
             READ_LOG,
             topic,
@@ -136,9 +141,17 @@
         _require_ok(reply)
         if len(reply.body) < OFFSETS_HEADER.size:
             raise StoreUnavailableError('a read without offsets')
+        topic_end, _ = OFFSETS_HEADER.unpack_from(reply.body)
         raw = reply.body[OFFSETS_HEADER.size :]
         records = tuple(_decode_records(raw, offset))
-        return Batch(records, offset + len(records), reply.era)
+        end = offset + len(records)
+        is_truncated = end < topic_end
+        if is_truncated and not records:
+            raise StoreUnavailableError(
+                f'no record from {offset} on, though the topic ends at '
+                f'{topic_end}'
+            )
+        return Batch(records, end, reply.era, is_truncated)
 
     async def append(
         self,
--- a/tests/components/feeds/test_feed.py
+++ b/tests/components/feeds/test_feed.py
@@ -103,6 +103,7 @@
     is_whole: bool = False,
     is_relayed: bool = False,
     is_settling: bool = False,
+    is_truncated: bool = False,
     era: int | None = None,
 ) -> ReadResult:
     """Return a result with one record per key, up to the end offset."""
@@ -111,7 +112,7 @@
         for index, key in enumerate(keys)
     )
     return ReadResult(
-        Batch(records, end, era),
+        Batch(records, end, era, is_truncated),
         age_s,
         is_whole=is_whole,
         is_relayed=is_relayed,
@@ -290,6 +291,51 @@
         assert fixture.feed.age_s == pytest.approx(2)
 
 
+class TestTruncated:
+    """An answer that does not reach the end of the topic."""
+
+    def test_does_not_confirm_the_records(self) -> None:
+        # Guards against a withdrawn key that works again after a cut.
+        fixture = Fixture()
+        fixture.add(
+            's', result(5, is_whole=True), result(7, 'a', is_truncated=True)
+        )
+        fixture.read()
+        fixture.clock.now_s += 6
+        fixture.read()
+        assert fixture.feed.position == Position(7)
+        assert fixture.feed.age_s == pytest.approx(8)
+        assert fixture.updates[-1].confirmed_s == fixture.updates[0].confirmed_s
+        assert fixture.outcomes[-1] == 'store'
+
+    def test_feed_is_lost_until_the_rest_was_read(self) -> None:
+        async def scenario() -> list[bool]:
+            follow = asyncio.create_task(fixture.feed.follow())
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                await all_read.wait()
+            follow.cancel()
+            return was_lost
+
+        fixture = Fixture()
+        all_read = asyncio.Event()
+        was_lost: list[bool] = []
+        source = fixture.add(
+            's',
+            StoreUnavailableError('down'),
+            result(7, 'a', is_whole=True, is_truncated=True),
+            result(9, 'b'),
+            StoreUnavailableError('down'),
+        )
+
+        def note_read() -> None:
+            was_lost.append(fixture.feed.is_lost)
+            if len(was_lost) == 4:
+                all_read.set()
+
+        source.on_read = note_read
+        assert asyncio.run(scenario()) == [False, True, True, False]
+
+
 class TestMirror:
     """The records that other daemons read from a feed."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,12 +9,14 @@
     HistoryLostError,
     StoreUnavailableError,
 )
+from marigoldhoist.components.feeds.feed import Feed, FeedPlan, FeedUpdate
 from marigoldhoist.components.feeds.models import (
     Batch,
     NewRecord,
     Position,
     Topic,
 )
+from marigoldhoist.components.feeds.service import StoreSource
 from marigoldhoist.platform.store import (
     NewestItem,
     NewestPage,
@@ -24,6 +26,10 @@
 from tests.platform.harness import HOST
 from tools.platform_standins.store import STATUS_TOPIC, StandInStore, StoreFault
 
+# More than fits into one answer of the store.
+LARGE_VALUE = b'x' * 250_000
+LARGE_RECORDS = 6
+
 
 async def start_store() -> tuple[StandInStore, PlatformStore]:
     """Return a fake store with two records and a client for it."""
@@ -92,6 +98,63 @@
         with pytest.raises(HistoryLostError):
             asyncio.run(scenario())
 
+    def test_answer_that_is_cut_at_its_size_limit_is_marked(self) -> None:
+        async def scenario() -> tuple[Batch, Batch]:
+            fake_store, store = await start_store()
+            for _ in range(LARGE_RECORDS):
+                await fake_store.put_raw(STATUS_TOPIC, 'c', LARGE_VALUE)
+            first = await store.read(Topic.STATUS, 0, 0)
+            rest = await store.read(Topic.STATUS, first.end, 0)
+            fake_store.stop()
+            return first, rest
+
+        first, rest = asyncio.run(scenario())
+        assert (first.is_truncated, rest.is_truncated) == (True, False)
+        assert rest.end == LARGE_RECORDS + 2
+
+    def test_read_without_the_records_that_exist_is_an_error(self) -> None:
+        async def scenario() -> None:
+            fake_store, store = await start_store()
+            # The store never splits a record.
+            await fake_store.put_raw(STATUS_TOPIC, 'c', LARGE_VALUE * 5)
+            try:
+                await store.read(Topic.STATUS, 2, 0)
+            finally:
+                fake_store.stop()
+
+        with pytest.raises(StoreUnavailableError, match='topic ends at 3'):
+            asyncio.run(scenario())
+
+
+class TestTruncatedRead:
+    """A feed whose history is longer than one read."""
+
+    def test_only_the_rest_confirms_the_records(self) -> None:
+        async def scenario() -> tuple[float, float]:
+            fake_store, store = await start_store()
+            updates: list[FeedUpdate] = []
+            feed = Feed(
+                FeedPlan(Topic.STATUS, wait_s=0),
+                lambda: [StoreSource(store)],
+                updates.append,
+                lambda _outcome: None,
+            )
+            await feed.read_once()
+            for _ in range(LARGE_RECORDS):
+                await fake_store.put_raw(STATUS_TOPIC, 'c', LARGE_VALUE)
+            await feed.read_once()
+            await feed.read_once()
+            fake_store.stop()
+            whole, truncated, rest = updates
+            return (
+                truncated.confirmed_s - whole.confirmed_s,
+                rest.confirmed_s - whole.confirmed_s,
+            )
+
+        truncated_s, rest_s = asyncio.run(scenario())
+        assert truncated_s == 0
+        assert rest_s > 0
+
 
 class TestAppends:
     """Conditional appends and lost responses."""
--- a/tools/platform_standins/store.py
+++ b/tools/platform_standins/store.py
@@ -7,7 +7,7 @@
 import enum
 import json
 import struct
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any, Final
 
 from tools.platform_standins.http import (
@@ -26,6 +26,8 @@
 # preceded by its length.
 OFFSETS: Final = struct.Struct('>QQ')
 LENGTH: Final = struct.Struct('>I')
+# The largest size of the records in an answer, unless the read names another.
+DEFAULT_READ_KB: Final = 1024
 
 
 class StoreFault(enum.Enum):
@@ -181,13 +183,12 @@
         if not topic.first_offset <= start <= topic.end_offset:
             payload = json.dumps({'first': topic.first_offset}).encode()
             return self._encode(410, body=payload)
-        framed = b''.join(
-            LENGTH.pack(len(record)) + record
-            for record in topic.records[start - topic.first_offset :]
-        )
+        max_bytes = int(request.query.get('max_kb', DEFAULT_READ_KB)) * 1024
+        records = topic.records[start - topic.first_offset :]
         return self._encode(
             200,
-            body=OFFSETS.pack(topic.end_offset, topic.first_offset) + framed,
+            body=OFFSETS.pack(topic.end_offset, topic.first_offset)
+            + _framed_up_to(records, max_bytes),
         )
 
     async def _append(self, topic: TopicLog, request: ReceivedRequest) -> bytes:
@@ -205,6 +206,16 @@
         )
 
 
+def _framed_up_to(records: Iterable[bytes], max_bytes: int) -> bytes:
+    """Return as many records with their lengths as fit into a size."""
+    framed = bytearray()
+    for record in records:
+        if len(framed) + LENGTH.size + len(record) > max_bytes:
+            break
+        framed += LENGTH.pack(len(record)) + record
+    return bytes(framed)
+
+
 def _records(body: bytes) -> Iterator[bytes]:
     """Yield the records of an append, each after its length."""
     start = 0
