Reject responses whose head was merged from two, and reuse no connection within one

Cause: a part of a head is no parsed item, so the connection that received it counted as reusable, and the next response was parsed as the rest of that head.

Why it works: a connection within a message is not reused, and a merged head that arises after the request was sent always contains a status line.

--- a/marigoldhoist/components/gateway/caller.py
+++ b/marigoldhoist/components/gateway/caller.py
@@ -68,11 +68,6 @@
         self._is_head_too_large = False
         self.is_serving = False
 
-    @property
-    def has_unread_input(self) -> bool:
-        """Return whether a part of a request was received."""
-        return super().has_unread_input or self._requests.head_bytes > 0
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that serves requests."""
         super().connection_made(transport)
--- a/marigoldhoist/components/gateway/connection.py
+++ b/marigoldhoist/components/gateway/connection.py
@@ -11,12 +11,16 @@
 )
 from marigoldhoist.components.gateway.messages import (
     Item,
+    MergedHeadError,
     RequestParser,
     ResponseParser,
 )
 
 # Received bytes that were not consumed yet; above this, reading is paused.
 MAX_QUEUED_BYTES: Final = 256 * 1024
+# Why received input is malformed.
+NO_MESSAGE: Final = 'bytes that are no message'
+MERGED_HEADS: Final = 'a head that continues as another one'
 
 
 class HttpConnection(asyncio.Protocol):
@@ -30,6 +34,7 @@
         self._writable.set()
         self._queued_bytes = 0
         self._is_malformed = False
+        self._malformed_reason = NO_MESSAGE
         self.is_closed = False
         self.was_reset = False
 
@@ -45,14 +50,22 @@
 
     @property
     def has_unread_input(self) -> bool:
-        """Return whether received input was not consumed yet."""
-        return bool(self._parser.items) or self._is_malformed
+        """Return whether received input was not consumed yet.
+
+        A part of a message counts, although there is no item for it.
+        """
+        return (
+            bool(self._parser.items)
+            or self._parser.is_in_message
+            or self._is_malformed
+        )
 
     @property
     def is_reusable(self) -> bool:
         """Return whether the connection is open with empty buffers."""
         is_flushed = self.transport.get_write_buffer_size() == 0
-        return is_flushed and not self.has_unread_input and not self.is_closed
+        is_open = not self.is_closed and not self.transport.is_closing()
+        return is_open and is_flushed and not self.has_unread_input
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -65,6 +78,9 @@
             return
         try:
             self._parser.feed(data)
+        except MergedHeadError:
+            self._is_malformed = True
+            self._malformed_reason = MERGED_HEADS
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._is_malformed = True
         self._queued_bytes += len(data)
@@ -101,7 +117,7 @@
         """
         while not self._parser.items:
             if self._is_malformed:
-                raise MalformedMessageError('bytes that are no message')
+                raise MalformedMessageError(self._malformed_reason)
             if self.is_closed:
                 raise ConnectionClosedError(
                     'the connection ended', self.was_reset
--- a/marigoldhoist/components/gateway/events.py
+++ b/marigoldhoist/components/gateway/events.py
@@ -63,6 +63,13 @@
     'warning',
     'A response to another request was skipped on a replica connection.',
 )
+INPUT_AFTER_RESPONSE = declare_event(
+    3821,
+    'input_after_response',
+    'info',
+    'More bytes followed a complete response, so that its connection is not'
+    ' used again.',
+)
 CALLER_MALFORMED = declare_event(
     3809,
     'caller_malformed',
--- a/marigoldhoist/components/gateway/messages.py
+++ b/marigoldhoist/components/gateway/messages.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+import re
 from collections.abc import Iterable
 from http import HTTPStatus
 from typing import Final
@@ -18,6 +19,7 @@
 # Received bytes of a response that contain neither a complete head nor a part
 # of a body: an incomplete head, interim responses or trailers.
 MAX_RESPONSE_OVERHEAD_BYTES: Final = 64 * 1024
+STATUS_LINE_START: Final = re.compile(rb'HTTP/\d\.\d \d{3}')
 
 Header = tuple[bytes, bytes]
 
@@ -72,12 +74,14 @@
         self.item_count = 0
         self.head_bytes = 0
         self.is_in_head = True
+        self.is_in_message = False
         self._head = MessageHead([])
 
     def on_message_begin(self) -> None:
         """Start a new head."""
         self._head = MessageHead([])
         self.is_in_head = True
+        self.is_in_message = True
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -99,6 +103,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the end of the message."""
+        self.is_in_message = False
         self._queue(End.OF_MESSAGE)
 
     def _queue(self, item: Item) -> None:
@@ -115,6 +120,11 @@
         self._collector.parser = self._parser
         self.items = self._collector.items
 
+    @property
+    def is_in_message(self) -> bool:
+        """Return whether a request has begun that is not complete."""
+        return self._collector.is_in_message
+
     @property
     def head_bytes(self) -> int:
         """Return the size of the incomplete head, in bytes."""
@@ -140,11 +150,18 @@
         super().on_headers_complete()
 
 
+class MergedHeadError(httptools.HttpParserError):
+    """A head contains the status line of another response."""
+
+
 class ResponseParser:
     """Strict response parser; parsed items are appended to `items`.
 
     Responses whose head, interim responses or trailers are too large are
     invalid, as a faulty replica may send such bytes without end.
+
+    A head that was cut off and the next response parse as one head, which has
+    the status of the one and the id and body of the other. It is invalid, too.
     """
 
     def __init__(self) -> None:
@@ -154,10 +171,19 @@
         self._overhead_bytes = 0
         self.items = self._collector.items
 
+    @property
+    def is_in_message(self) -> bool:
+        """Return whether a response has begun that is not complete."""
+        return self._collector.is_in_message
+
     def feed(self, received: bytes) -> None:
         """Parse received bytes; raise HttpParserError on invalid responses."""
         item_count = self._collector.item_count
         self._parser.feed_data(received)
+        if self._collector.merged_status_line:
+            raise MergedHeadError(
+                f'status line {self._collector.merged_status_line!r} in a head'
+            )
         if self._collector.item_count > item_count:
             self._overhead_bytes = 0
             return
@@ -176,10 +202,25 @@
     def __init__(self) -> None:
         super().__init__()
         self._is_interim = False
+        self._reason_phrase = b''
+        # The first status line that was found within a head.
+        self.merged_status_line = b''
+
+    def on_message_begin(self) -> None:
+        """Start a new head."""
+        super().on_message_begin()
+        self._reason_phrase = b''
+
+    def on_status(self, phrase: bytes) -> None:
+        """Append a part of the reason phrase."""
+        self._reason_phrase += phrase
 
     def on_headers_complete(self) -> None:
         """Complete the head and queue it, unless it is interim (1xx)."""
         head = self._head
+        self.merged_status_line = self.merged_status_line or _find_status_line(
+            self._reason_phrase, *(content for _, content in head.headers)
+        )
         head.status = self.parser.get_status_code()
         self._is_interim = head.status < FIRST_FINAL_STATUS
         if self._is_interim:
@@ -190,9 +231,19 @@
 
     def on_message_complete(self) -> None:
         """Queue the end of the message, unless it is interim (1xx)."""
+        self.is_in_message = False
         if not self._is_interim:
             super().on_message_complete()
 
+    def _queue(self, item: Item) -> None:
+        if not self.merged_status_line:
+            super()._queue(item)
+
+
+def _find_status_line(*parts: bytes) -> bytes:
+    """Return the first part that contains a status line, empty without one."""
+    return next((part for part in parts if STATUS_LINE_START.search(part)), b'')
+
 
 def _is_framed(head: MessageHead) -> bool:
     return (
--- a/marigoldhoist/components/gateway/pool.py
+++ b/marigoldhoist/components/gateway/pool.py
@@ -18,7 +18,9 @@
     TCP_USER_TIMEOUT_MS,
 )
 from marigoldhoist.components.gateway.errors import AttemptError
+from marigoldhoist.components.gateway.events import INPUT_AFTER_RESPONSE
 from marigoldhoist.components.gateway.messages import ResponseParser
+from marigoldhoist.core.events import emit
 from marigoldhoist.core.verdict import Verdict
 
 # Reason of an attempt whose connect was not answered.
@@ -119,7 +121,13 @@
         )
 
     def release(self, replica: Replica, connection: ReplicaConnection) -> None:
-        """Return a connection to the pool after its response was read."""
+        """Return a connection to the pool after its response was read.
+
+        One that cannot be used again is aborted.
+        """
+        if not connection.is_reusable:
+            _discard(replica.host, connection)
+            return
         if replica.is_gone:
             connection.close()
             return
@@ -159,10 +167,17 @@
             if connection.is_reusable:
                 connection.is_idle = False
                 return connection
-            connection.close()
+            _discard(host, connection)
         return None
 
 
+def _discard(host: str, connection: ReplicaConnection) -> None:
+    """Abort a connection that cannot be used again."""
+    if connection.has_unread_input:
+        emit(INPUT_AFTER_RESPONSE, replica=host)
+    connection.abort()
+
+
 def _reuse_share(*, is_repeatable: bool) -> float:
     return IDLE_REUSE_SHARE if is_repeatable else IDLE_REUSE_SHARE_AT_MOST_ONCE
 
--- a/marigoldhoist/components/gateway/replica_response.py
+++ b/marigoldhoist/components/gateway/replica_response.py
@@ -106,8 +106,7 @@
 
     def release(self, pool: ReplicaPool) -> None:
         """Return the connection to the pool if reusable, else abort it."""
-        is_complete = self._is_complete and self.head.is_keep_alive
-        if is_complete and self._connection.is_reusable:
+        if self._is_complete and self.head.is_keep_alive:
             pool.release(self.replica, self._connection)
         else:
             self._connection.abort()
--- a/marigoldhoist/platform/store.py
+++ b/marigoldhoist/platform/store.py
@@ -231,7 +231,7 @@
     async def _acquire_connection(self) -> HttpConnection:
         while self._idle:
             idle = self._idle.pop()
-            if not idle.is_closed and not idle.has_unread_input:
+            if idle.is_reusable:
                 return idle
             idle.close()
         loop = asyncio.get_running_loop()
--- a/tests/components/gateway/test_messages.py
+++ b/tests/components/gateway/test_messages.py
@@ -1,5 +1,6 @@
 """Strict parsing and serialization of HTTP messages."""
 
+import contextlib
 import itertools
 
 import httptools
@@ -81,3 +82,41 @@
         parser.feed(response_bytes(200, (), b'x'))
         with pytest.raises(httptools.HttpParserError):
             parser.feed(b'garbage\r\n\r\n')
+
+
+class TestInterruptedHead:
+    """The first part of a head that is followed by another response."""
+
+    HEADERS = (
+        (b'Request-Id', b'a'),
+        (b'Response-Seal', b's'),
+        (b'Keep-Alive', b'timeout=10'),
+    )
+    FIRST = response_bytes(200, HEADERS, b'first')
+
+    @given(
+        st.integers(1, FIRST.index(b'first') - 1),
+        st.sampled_from((b'HTTP/1.1 500 Failed', b'HTTP/1.1 500')),
+        st.integers(0, 200),
+    )
+    def test_is_not_merged_with_the_other_head(
+        self, cut: int, status_line: bytes, split_point: int
+    ) -> None:
+        # Guards against the status of one answer with the body of another.
+        other = (
+            b'%b\r\nRequest-Id: b\r\nContent-Length: 0\r\n\r\n' % status_line
+        )
+        raw = self.FIRST[:cut] + other
+        parser = ResponseParser()
+        with contextlib.suppress(httptools.HttpParserError):
+            parser.feed(raw[:split_point])
+            parser.feed(raw[split_point:])
+        assert not parser.items
+
+    @given(st.integers(0, len(FIRST)))
+    def test_parser_is_in_a_message_until_it_is_complete(
+        self, cut: int
+    ) -> None:
+        parser = ResponseParser()
+        parser.feed(self.FIRST + self.FIRST[:cut])
+        assert parser.is_in_message is (0 < cut < len(self.FIRST))
