Send a call on no connection twice

Callers saw: a success on a safe route though every run of the call had been answered with a failure first (MIXED), if the replica answers a second time, late and with another status.

Cause: the call is sent again to the same replica on the connection that has just become idle, where the second answer to its first send has the id that the second send waits for.

Why it works: on any other connection that answer is of another id or comes while the connection is idle.

--- a/marigoldhoist/components/gateway/models.py
+++ b/marigoldhoist/components/gateway/models.py
@@ -7,6 +7,7 @@
     NO_ANNOUNCEMENT,
     Announcement,
 )
+from marigoldhoist.components.gateway.connection import HttpConnection
 from marigoldhoist.components.gateway.messages import Header, MessageHead
 from marigoldhoist.core.errors import RequestFailure
 
@@ -38,7 +39,8 @@
 
     `arrived_s` is the boot time at which its head arrived. `headers` are
     forwarded to the replica unchanged. `resume_after` is the number of the
-    last stream event that the caller has already received.
+    last stream event that the caller has already received. `connections` are
+    those that the call was sent on.
     """
 
     request_id: str
@@ -54,6 +56,7 @@
     prompt: Prompt | None = None
     session: str = ''
     body: bytes = b''
+    connections: list[HttpConnection] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/marigoldhoist/components/gateway/peer_sender.py
+++ b/marigoldhoist/components/gateway/peer_sender.py
@@ -121,7 +121,9 @@
         self, peer_call: PeerCall, target: Replica, is_repeatable: bool
     ) -> ReplicaConnection:
         try:
-            return await self._pool.acquire(target, is_repeatable=is_repeatable)
+            return await self._pool.acquire(
+                peer_call.call, target, is_repeatable=is_repeatable
+            )
         except AttemptError as error:
             self._avoid(peer_call, error.reason)
             raise
--- a/marigoldhoist/components/gateway/pool.py
+++ b/marigoldhoist/components/gateway/pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import socket
+from collections.abc import Sequence
 from typing import Final
 
 from marigoldhoist.components.directory.models import Replica
@@ -20,6 +21,7 @@
 from marigoldhoist.components.gateway.errors import AttemptError
 from marigoldhoist.components.gateway.events import INPUT_AFTER_RESPONSE
 from marigoldhoist.components.gateway.messages import ResponseParser
+from marigoldhoist.components.gateway.models import Call
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.verdict import Verdict
 
@@ -96,17 +98,20 @@
         self._idle_by_host: dict[str, list[_IdleConnection]] = {}
 
     async def acquire(
-        self, replica: Replica, *, is_repeatable: bool
+        self, call: Call, replica: Replica, *, is_repeatable: bool
     ) -> ReplicaConnection:
-        """Return an idle or new connection.
+        """Return an idle or new connection and note it in the call.
 
-        Raise AttemptError if no connection can be opened.
+        A call is never sent on one connection twice: a second answer to its
+        first send may still come there, and it has the same id. Raise
+        AttemptError if no connection can be opened.
         """
         share = _reuse_share(is_repeatable=is_repeatable)
-        connection = self._acquire_idle(replica.host, share)
-        if connection is not None:
-            return connection
-        return await open_connection(replica)
+        connection = self._acquire_idle(replica.host, share, call.connections)
+        if connection is None:
+            connection = await open_connection(replica)
+        call.connections.append(connection)
+        return connection
 
     def has_idle(self, replica: Replica, *, is_repeatable: bool) -> bool:
         """Return whether an idle connection can be reused."""
@@ -156,14 +161,17 @@
             self._idle_by_host[host] = reusable
 
     def _acquire_idle(
-        self, host: str, share: float
+        self, host: str, share: float, excluded: Sequence[HttpConnection]
     ) -> ReplicaConnection | None:
         idle_connections = self._idle_by_host.get(host, [])
         now_s = asyncio.get_running_loop().time()
-        while idle_connections:
-            if not _is_unexpired(idle_connections[-1], now_s, share):
+        for idle in reversed(tuple(idle_connections)):
+            if not _is_unexpired(idle, now_s, share):
                 return None
-            connection = idle_connections.pop().connection
+            connection = idle.connection
+            if connection in excluded:
+                continue
+            idle_connections.remove(idle)
             if connection.is_reusable:
                 connection.is_idle = False
                 return connection
--- a/marigoldhoist/components/gateway/sender.py
+++ b/marigoldhoist/components/gateway/sender.py
@@ -87,7 +87,7 @@
         the replica.
         """
         with _tracked_in_flight(replica):
-            connection = await self._connect(replica, is_repeatable)
+            connection = await self._connect(call, replica, is_repeatable)
             on_send()
             try:
                 response = await self._request_response(
@@ -148,11 +148,11 @@
             connection.abort()
 
     async def _connect(
-        self, replica: Replica, is_repeatable: bool
+        self, call: Call, replica: Replica, is_repeatable: bool
     ) -> ReplicaConnection:
         try:
             return await self._pool.acquire(
-                replica, is_repeatable=is_repeatable
+                call, replica, is_repeatable=is_repeatable
             )
         except AttemptError as error:
             self._directory.suspect(replica, error.reason)
--- a/tests/platform/stuttering_replica.py
+++ b/tests/platform/stuttering_replica.py
@@ -78,6 +78,15 @@
     return Stutter(late=answer)
 
 
+@register_stutter
+def other_status_late(answer: bytes, rng: random.Random) -> Stutter:
+    """Return a second answer to the same request with another status."""
+    status_line, _, others = answer.partition(b'\r\n')
+    status = b'500' if b' 200 ' in status_line else b'200'
+    changed = b'HTTP/1.1 %b Status\r\n%b' % (status, others)
+    return Stutter(late=changed if rng.random() < 0.5 else answer)
+
+
 class StutteringReplica(StandInServer):
     """Answers with varying statuses, every second time more than once.
 
