Compare the id of a peer's answer with that of the call

Callers would have seen: the answer to an earlier call, from the first second answer of a peer on (MIXED). Found by reading, as a path related to the second answers of replicas; no caller was seen with it.

Cause: the sender to peers took the next head on a connection as its answer.

Why it works: replicas and peers now share read_matching_head, which passes over answers to other calls. A peer always names the call, so an answer without id is not trusted.

--- a/marigoldhoist/components/gateway/peer_sender.py
+++ b/marigoldhoist/components/gateway/peer_sender.py
@@ -16,7 +16,6 @@
     MalformedMessageError,
     RefusedError,
 )
-from marigoldhoist.components.gateway.messages import MessageHead
 from marigoldhoist.components.gateway.models import (
     Call,
     Dialect,
@@ -30,6 +29,9 @@
     HEAD,
     ReplicaResponse,
 )
+from marigoldhoist.components.gateway.response_heads import (
+    read_matching_head,
+)
 from marigoldhoist.components.handover.const import COMPONENT as HANDOVER
 from marigoldhoist.components.handover.models import Handover
 from marigoldhoist.components.handover.service import (
@@ -144,13 +146,14 @@
                     handover_headers.request_headers(peer_call.handover),
                 )
             )
-            head = await connection.next_item()
+            head, metadata = await read_matching_head(
+                connection, call.request_id, self._dialect
+            )
+            if not metadata.request_id:
+                raise MalformedMessageError('answer without id')
         except (ConnectionClosedError, MalformedMessageError) as error:
             self._avoid(peer_call, str(error))
             raise AttemptError(str(error), Verdict.MAY_HAVE_RUN) from error
-        if not isinstance(head, MessageHead):
-            raise AttemptError('no head of a peer', Verdict.MAY_HAVE_RUN)
-        metadata = self._dialect.parse_response_metadata(head)
         response = ReplicaResponse(
             target, connection, head, metadata, has_body=call.method != HEAD
         )
--- a/marigoldhoist/components/gateway/sender.py
+++ b/marigoldhoist/components/gateway/sender.py
@@ -13,7 +13,6 @@
 from marigoldhoist.components.gateway.const import (
     LATE_HEAD_TIMEOUT_S,
     MAX_REFUSAL_BODY_BYTES,
-    MAX_SKIPPED_ITEMS,
     REFUSAL_BODY_TIMEOUT_S,
 )
 from marigoldhoist.components.gateway.errors import (
@@ -21,8 +20,6 @@
     ConnectionClosedError,
     MalformedMessageError,
 )
-from marigoldhoist.components.gateway.events import ANSWER_PASSED_OVER
-from marigoldhoist.components.gateway.messages import MessageHead
 from marigoldhoist.components.gateway.models import (
     Call,
     Dialect,
@@ -38,8 +35,10 @@
     HEAD,
     ReplicaResponse,
 )
+from marigoldhoist.components.gateway.response_heads import (
+    read_matching_head,
+)
 from marigoldhoist.core.clock import SYSTEM_CLOCK
-from marigoldhoist.core.events import emit
 from marigoldhoist.core.verdict import Verdict
 
 # These statuses imply that the request was not run, so a response with one of
@@ -140,8 +139,8 @@
         try:
             with contextlib.suppress(*nothing_said):
                 async with asyncio.timeout(LATE_HEAD_TIMEOUT_S):
-                    _, metadata = await self._read_matching_head(
-                        connection, request_id
+                    _, metadata = await read_matching_head(
+                        connection, request_id, self._dialect
                     )
                 self._record_metadata(replica, metadata, connection, request_id)
         finally:
@@ -175,8 +174,8 @@
                 await connection.write_request(
                     self._dialect.request_bytes(call, forwarding)
                 )
-                head, metadata = await self._read_matching_head(
-                    connection, call.request_id
+                head, metadata = await read_matching_head(
+                    connection, call.request_id, self._dialect
                 )
         except (ConnectionClosedError, MalformedMessageError) as error:
             replica.note_failure(SYSTEM_CLOCK.boottime_s())
@@ -196,26 +195,6 @@
             )
         return response
 
-    async def _read_matching_head(
-        self, connection: ReplicaConnection, request_id: str
-    ) -> tuple[MessageHead, ResponseMetadata]:
-        """Return the head that matches the request id, skipping others."""
-        skipped = 0
-        while skipped < MAX_SKIPPED_ITEMS:
-            item = await connection.next_item()
-            skipped += 1
-            if not isinstance(item, MessageHead):
-                continue
-            metadata = self._dialect.parse_response_metadata(item)
-            if not metadata.request_id or metadata.request_id == request_id:
-                return item, metadata
-            emit(
-                ANSWER_PASSED_OVER,
-                request_id=request_id,
-                came_for=metadata.request_id,
-            )
-        raise MalformedMessageError('responses to other requests only')
-
     def _record_metadata(
         self,
         replica: Replica,
