Write no failure behind an answer that was handed to the connection

Cause: the time limit of a call covered the wait for the caller to read the answer, all of which the connection already had.

Why it works: the end of a response is handed over without a wait, so no time limit can come between; the wait follows before the next request, bounded by 60 s (caller_stalled).

--- a/marigoldhoist/components/gateway/connection.py
+++ b/marigoldhoist/components/gateway/connection.py
@@ -130,11 +130,18 @@
 
     async def write(self, content: bytes) -> None:
         """Write bytes and wait while the write buffer is full."""
+        self.write_nowait(content)
+        await self.drain()
+
+    def write_nowait(self, content: bytes) -> None:
+        """Hand bytes to the write buffer; the caller has to drain it."""
         if self.is_closed:
             raise ConnectionClosedError('the connection ended', self.was_reset)
         self.transport.write(content)
-        if not self._writable.is_set():
-            await self._writable.wait()
+
+    async def drain(self) -> None:
+        """Wait while the write buffer is full."""
+        await self._writable.wait()
 
     def close(self) -> None:
         """Close after the write buffer is flushed."""
--- a/marigoldhoist/components/gateway/const.py
+++ b/marigoldhoist/components/gateway/const.py
@@ -35,6 +35,9 @@
 # The retry delay is at most this share of the time that the call has left.
 RETRY_AFTER_SHARE: Final = 0.3
 
+# A caller that has not read its response within this time has left.
+FLUSH_TIMEOUT_S: Final = 60.0
+
 # Largest body of a response that is delivered as a whole. One of a refusal is
 # only read so that its connection can be used again.
 MAX_RESPONSE_BODY_BYTES: Final = 8 * 1024 * 1024
--- a/marigoldhoist/components/gateway/deliveries.py
+++ b/marigoldhoist/components/gateway/deliveries.py
@@ -1,5 +1,6 @@
 """Delivery of responses to callers, by kind of route."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Protocol
 
@@ -19,7 +20,11 @@
 
 
 class ResponseWriter:
-    """Writes the response of one exchange to the caller."""
+    """Writes the response of one exchange to the caller.
+
+    The end of a response is not waited for, so that no time limit of the call
+    can end it after its last byte was handed to the connection. `flush` waits.
+    """
 
     def __init__(
         self,
@@ -34,11 +39,11 @@
         self._context = context
         self.should_close = should_close
 
-    async def write_response(self, head: MessageHead, body: bytes) -> None:
+    def end_with_response(self, head: MessageHead, body: bytes) -> None:
         """Write a complete response of a replica."""
         headers = self._headers(head)
         declared_length = '' if body else head.value(b'content-length')
-        await self._connection.write(
+        self.end_with(
             response_bytes(head.status, headers, body, declared_length)
         )
 
@@ -51,9 +56,17 @@
         """Write one event of a stream as a chunk."""
         await self._connection.write(chunk_bytes(raw))
 
-    async def write_raw(self, rendered: bytes) -> None:
-        """Write bytes that are already serialized."""
-        await self._connection.write(rendered)
+    def end_with(self, rendered: bytes) -> None:
+        """Write a whole response or its rest, which is already serialized."""
+        self._connection.write_nowait(rendered)
+
+    async def flush(self, timeout_s: float) -> None:
+        """Wait until the caller has read most of the response.
+
+        Raise TimeoutError if it takes longer.
+        """
+        async with asyncio.timeout(timeout_s):
+            await self._connection.drain()
 
     def abort(self) -> None:
         """Abort the connection in the middle of a response."""
--- a/marigoldhoist/components/gateway/events.py
+++ b/marigoldhoist/components/gateway/events.py
@@ -70,6 +70,13 @@
     'More bytes followed a complete response, so that its connection is not'
     ' used again.',
 )
+CALLER_STALLED = declare_event(
+    3822,
+    'caller_stalled',
+    'warning',
+    'A caller did not read its whole response in time; its connection was'
+    ' aborted.',
+)
 CALLER_MALFORMED = declare_event(
     3809,
     'caller_malformed',
--- a/marigoldhoist/components/gateway/exchange.py
+++ b/marigoldhoist/components/gateway/exchange.py
@@ -7,6 +7,7 @@
 from marigoldhoist.components.gateway import handover_headers
 from marigoldhoist.components.gateway.attempts import Attempts
 from marigoldhoist.components.gateway.connection import HttpConnection
+from marigoldhoist.components.gateway.const import FLUSH_TIMEOUT_S
 from marigoldhoist.components.gateway.context import GatewayContext
 from marigoldhoist.components.gateway.deliveries import (
     ResponseWriter,
@@ -17,6 +18,7 @@
 from marigoldhoist.components.gateway.events import (
     CALL_TAKEN_OVER,
     CALLER_LEFT,
+    CALLER_STALLED,
     REQUEST_BROKEN_OFF,
     REQUEST_ENDED,
     REQUEST_FAILED,
@@ -62,12 +64,23 @@
 
     async def run(self) -> bool:
         """Serve the call; return whether its connection can be reused."""
+        is_reusable = await self._respond()
+        try:
+            await self._writer.flush(FLUSH_TIMEOUT_S)
+        except TimeoutError:
+            self._progress.note(CALLER_STALLED, waited_s=FLUSH_TIMEOUT_S)
+            self._writer.abort()
+            return False
+        return is_reusable
+
+    async def _respond(self) -> bool:
+        """Write the response; return whether its connection can be reused."""
         try:
             await self._serve()
         except RefusedError as error:
-            return await self._fail(error.failure)
+            return self._fail(error.failure)
         except TimeoutError:
-            return await self._fail(self._attempts.deadline_failure())
+            return self._fail(self._attempts.deadline_failure())
         except asyncio.CancelledError:
             self._record_disconnect()
             raise
@@ -145,7 +158,7 @@
             progress.serving_host, progress.send_count
         )
 
-    async def _fail(self, failure: RequestFailure) -> bool:
+    def _fail(self, failure: RequestFailure) -> bool:
         """Write a failure response, or abort a response that has started."""
         progress = self._progress
         progress.note(
@@ -167,7 +180,7 @@
         if progress.has_stream_started:
             self._writer.abort()
             return False
-        await self._writer.write_raw(
+        self._writer.end_with(
             self._context.dialect.failure_response(
                 self._call.request_id, failure
             )
--- a/marigoldhoist/components/gateway/plain_delivery.py
+++ b/marigoldhoist/components/gateway/plain_delivery.py
@@ -40,7 +40,7 @@
                 return False
             self._progress.serving_host = response.replica.host
             head = response.head
-        await self._writer.write_response(head, body)
+        self._writer.end_with_response(head, body)
         return True
 
     def _try_take_retry(self, route: Route) -> bool:
--- a/marigoldhoist/components/gateway/stream_delivery.py
+++ b/marigoldhoist/components/gateway/stream_delivery.py
@@ -63,7 +63,7 @@
             if not progress.has_stream_started:
                 await self._start_stream(response)
             self._attempts.record_response(response, is_failure=False)
-        await self._writer.write_raw(LAST_CHUNK)
+        self._writer.end_with(LAST_CHUNK)
         return True
 
     async def _start_stream(self, response: ReplicaResponse) -> None:
@@ -115,7 +115,7 @@
         if self._progress.has_stream_started:
             raise AttemptError('replica failed on resuming', Verdict.RAN)
         self._progress.serving_host = response.replica.host
-        await self._writer.write_response(response.head, body)
+        self._writer.end_with_response(response.head, body)
         return True
 
     def _escalate_model(self, route: Route, response: ReplicaResponse) -> bool:
