--- a/tests/components/upstreams/test_connections.py
+++ b/tests/components/upstreams/test_connections.py
@@ -1,4 +1,4 @@
-"""Tests of responses whose connection ends within their head."""
+"""Tests of responses whose head is cut off."""
 
 import socket
 import threading
@@ -50,3 +50,19 @@
     def test_whole_head_is_read(self) -> None:
         assert body_of(b'%b\r\nbody' % HEAD) == b'body'
         assert not body_of(b'%bContent-Length: 0\r\n\r\n' % HEAD)
+
+
+class TestInterruptedHead:
+    """A part of a head that is followed by another response."""
+
+    FAILURE = b'HTTP/1.1 500 Failed\r\nContent-Length: 4\r\n\r\nfail'
+
+    @pytest.mark.parametrize('cut', range(1, len(HEAD) + 1))
+    def test_is_not_merged_with_the_other_head(self, cut: int) -> None:
+        # Guards against the status of one answer with the body of another.
+        with pytest.raises(urllib3.exceptions.ProtocolError):
+            body_of(HEAD[:cut] + self.FAILURE)
+
+    def test_response_after_an_interim_one_is_read(self) -> None:
+        interim = b'HTTP/1.1 100 Continue\r\n\r\n'
+        assert body_of(interim + self.FAILURE) == b'fail'
