--- a/tests/platform/stuttering_replica.py
+++ b/tests/platform/stuttering_replica.py
@@ -4,7 +4,7 @@
 import dataclasses
 import itertools
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Final
 
 from tests.platform.harness import (
@@ -20,73 +20,16 @@
     encode_response,
     read_request,
 )
+from tools.platform_standins.stutters import StutteringWriter
 
 STATUSES: Final = (200, 200, 500, 504)
 SUCCESS: Final = 200
 REFUSED: Final = 503
 MAX_WORK_S: Final = 0.004
-MAX_LATE_S: Final = 0.05
 CALLERS: Final = 16
 CALLS_PER_CALLER: Final = 20
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stutter:
-    """What a replica sends after an answer: at once, later, and after that."""
-
-    at_once: bytes = b''
-    late: bytes = b''
-    rest: bytes = b''
-
-
-StutterFactory = Callable[[bytes, random.Random], Stutter]
-stutter_by_name: dict[str, StutterFactory] = {}
-
-
-def register_stutter(factory: StutterFactory) -> StutterFactory:
-    """Register what a replica sends after an answer, by the function's name."""
-    stutter_by_name[factory.__name__] = factory
-    return factory
-
-
-def _part_of_head(answer: bytes, rng: random.Random) -> bytes:
-    return answer[: rng.randrange(1, answer.index(HEAD_END) + len(HEAD_END))]
-
-
-@register_stutter
-def part_at_once(answer: bytes, rng: random.Random) -> Stutter:
-    """Return the first part of a copy's head, in the same write."""
-    return Stutter(at_once=_part_of_head(answer, rng))
-
-
-@register_stutter
-def part_late(answer: bytes, rng: random.Random) -> Stutter:
-    """Return the first part of a copy's head."""
-    return Stutter(late=_part_of_head(answer, rng))
-
-
-@register_stutter
-def copy_in_two_parts(answer: bytes, rng: random.Random) -> Stutter:
-    """Return a copy whose head is interrupted."""
-    part = _part_of_head(answer, rng)
-    return Stutter(late=part, rest=answer[len(part) :])
-
-
-@register_stutter
-def copy_late(answer: bytes, _rng: random.Random) -> Stutter:
-    """Return a whole copy."""
-    return Stutter(late=answer)
-
-
-@register_stutter
-def other_status_late(answer: bytes, rng: random.Random) -> Stutter:
-    """Return a second answer to the same request with another status."""
-    status_line, _, others = answer.partition(b'\r\n')
-    status = b'500' if b' 200 ' in status_line else b'200'
-    changed = b'HTTP/1.1 %b Status\r\n%b' % (status, others)
-    return Stutter(late=changed if rng.random() < 0.5 else answer)
-
-
 class StutteringReplica(StandInServer):
     """Answers with varying statuses, every second time more than once.
 
@@ -96,10 +39,9 @@
 
     def __init__(self, name: str, seed: int, *, refuses: bool = False) -> None:
         super().__init__()
-        self._make_stutter = stutter_by_name[name]
         self._rng = random.Random(seed)
+        self._writer = StutteringWriter(name, self._rng)
         self._refuses = refuses
-        self._late: set[asyncio.Task[None]] = set()
         self.answers_by_id: dict[str, list[tuple[int, bytes]]] = {}
 
     async def serve(
@@ -110,14 +52,7 @@
         while request is not None:
             await asyncio.sleep(self._rng.uniform(0, MAX_WORK_S))
             answer = self._answer(request)
-            stutter = Stutter()
-            if self._rng.random() < 0.5:
-                stutter = self._make_stutter(answer, self._rng)
-            writer.write(answer + stutter.at_once)
-            if stutter.late:
-                task = asyncio.create_task(self._write_late(writer, stutter))
-                self._late.add(task)
-                task.add_done_callback(self._late.discard)
+            self._writer.write(writer, answer)
             request = await read_request(reader)
 
     def _answer(self, request: ReceivedRequest) -> bytes:
@@ -131,15 +66,6 @@
         headers['Response-Seal'] = 'seal'
         return encode_response(status, headers, body)
 
-    async def _write_late(
-        self, writer: asyncio.StreamWriter, stutter: Stutter
-    ) -> None:
-        for part in (stutter.late, stutter.rest):
-            await asyncio.sleep(self._rng.uniform(0, MAX_LATE_S))
-            if writer.is_closing():
-                return
-            writer.write(part)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Exchange:
--- a/tests/platform/test_stuttering_replicas.py
+++ b/tests/platform/test_stuttering_replicas.py
@@ -10,8 +10,8 @@
     StutteringReplica,
     call_stuttering_replica,
     faults_of,
-    stutter_by_name,
 )
+from tools.platform_standins.stutters import stutter_by_name
 
 SEEDS = (1, 2, 3)
 
--- a/tests/tools/test_soak.py
+++ b/tests/tools/test_soak.py
@@ -33,7 +33,9 @@
     runs = [
         ObservedRun('r', f'p{at}', at_s) for at, at_s in enumerate(started_s)
     ]
-    return Observations([observed], runs)
+    observations = Observations([observed], runs)
+    observations.statuses_by_id['r'].append(200)
+    return observations
 
 
 class TestCompliantCalls:
@@ -58,6 +60,16 @@
         assert not list(find_violations(observe(observed)))
 
 
+class TestAnswers:
+    """Successes are compared with the first answers of the replicas."""
+
+    def test_success_after_a_failure_is_reported(self) -> None:
+        observations = observe(call(), 10)
+        observations.statuses_by_id['r'] = [500, 504]
+        (violation,) = find_violations(observations)
+        assert 'was answered [500, 504]' in violation
+
+
 class TestViolations:
     """Calls that violate one guarantee each."""
 
@@ -65,7 +77,9 @@
         ('observed', 'started_s', 'message'),
         (
             (call('unsafe'), (10, 10.5), 'executed 2 times'),
+            (call('once'), (10, 10.5), 'executed 2 times'),
             (call('unsafe', status=503), (10,), 'but was executed'),
+            (call(answered_id='other'), (10,), 'the answer to other'),
             (call(response_seal=''), (10,), 'no Response-Seal'),
             (call('stream', events=(1, 2, 2, 3)), (10,), 'out of sequence'),
             (call('stream', events=(1, 3)), (10,), 'out of sequence'),
--- a/tools/platform_standins/replica.py
+++ b/tools/platform_standins/replica.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import enum
-from collections.abc import Callable, Set
+from collections.abc import Callable, Mapping, Set
 from typing import Final
 
 from tools.platform_standins.http import (
@@ -14,6 +14,7 @@
     encode_response,
     read_request,
 )
+from tools.platform_standins.stutters import StutteringWriter
 
 LAST_CHUNK: Final = b'0\r\n\r\n'
 SEAL: Final = 'seal'
@@ -66,9 +67,11 @@
     stream whose prompt has one of `crashing_parts` crashes the replica
     `crash_delay_s` after the head of the response, and a request for one of
     `crashing_paths` as long after its start; either calls `on_crash`. `born`
-    distinguishes its starts under one name. A replica with a `capacity` turns
-    away the requests beyond it; one with a `rejection_limit` names that in its
-    answers, and crashes if it turns more requests away in a second.
+    distinguishes its starts under one name. `on_answer` is called with the id
+    of each plain request that was run and the status of its first answer. A
+    replica with a `capacity` turns away the requests beyond it; one with a
+    `rejection_limit` names that in its answers, and crashes if it turns more
+    requests away in a second.
     `executed_requests` holds every request that was executed, `cancelled_ids`
     the ids of streams whose client disconnected, and `interrupted_ids` the ids
     of requests whose response a fault may have cut.
@@ -104,6 +107,11 @@
         self.connections = 0
         # How long a request is queued before it is turned away.
         self.shed_delay_s: float = 0
+        # Writes the answers to plain requests, None for a sound replica.
+        self.stuttering: StutteringWriter | None = None
+        # The least size of the answers to plain requests for a path.
+        self.body_bytes_by_path: Mapping[str, int] = {}
+        self.on_answer: Callable[[str, int], None] = _ignore_answer
 
     def entry(self, service: str, **changed: object) -> dict[str, object]:
         """Return the entry that the replica stores to register itself."""
@@ -212,15 +220,16 @@
         fault: ReplicaFault | None,
     ) -> bool:
         headers = self._headers(request)
-        response = encode_response(
-            200, headers, b'done by ' + self.name.encode()
-        )
+        body = b'done by ' + self.name.encode()
+        body = body.ljust(self.body_bytes_by_path.get(request.path, 0), b'.')
+        response = encode_response(200, headers, body)
         if request.method == 'HEAD':
             response = response[: response.index(HEAD_END) + len(HEAD_END)]
         if fault is ReplicaFault.ERROR:
             response = encode_response(500, headers, b'failed')
         if fault is ReplicaFault.LYING_BUSY:
             response = encode_response(503, headers)
+        self.on_answer(request.headers['request-id'], _status_of(response))
         if fault is ReplicaFault.UNSIGNED:
             headers.pop('Response-Seal')
             response = encode_response(200, headers, b'unsigned')
@@ -234,7 +243,10 @@
         if fault is ReplicaFault.TORN:
             writer.write(response[:-3])
             return False
-        writer.write(response)
+        if self.stuttering is None:
+            writer.write(response)
+        else:
+            self.stuttering.write(writer, response)
         return True
 
     async def _respond_stream(
@@ -297,6 +309,15 @@
     return {'Request-Id': request.headers['request-id']}
 
 
+def _status_of(response: bytes) -> int:
+    """Return the status of an encoded response."""
+    return int(response.split(b' ', 2)[1])
+
+
+def _ignore_answer(_request_id: str, _status: int) -> None:
+    """Ignore an answer."""
+
+
 def _ignore_crash(_cause: str) -> None:
     """Ignore a crash."""
 
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -8,7 +8,7 @@
 import tempfile
 from collections.abc import Iterator
 
-from tools.soak.faults import NEWEST_GENERATION
+from tools.soak.answer_faults import NEWEST_GENERATION
 from tools.soak.world import Outcome, SoakWorld
 
 RANDOM_SEED_LIMIT = 1_000_000
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 
 from marigoldhoist.core.identity import split_address
-from tools.soak.checks import Observations, ObservedCall
+from tools.soak.checks import STREAM_KINDS, Observations, ObservedCall
 from tools.soak.const import CALL_TIMEOUT_S, MAX_CALL_PAUSE_S
 from tools.soak.daemons import DaemonProcess
 
@@ -42,11 +42,11 @@
     async def run(self) -> None:
         """Send requests until cancelled."""
         while True:
-            await self._call()
+            await self.call(self._rng.choice(('safe', 'unsafe', 'stream')))
             await asyncio.sleep(MAX_CALL_PAUSE_S * self._rng.random())
 
-    async def _call(self) -> None:
-        kind = self._rng.choice(('safe', 'unsafe', 'stream'))
+    async def call(self, kind: str) -> None:
+        """Send one request and record what came of it."""
         request_id = f'{self._name}-{next(self._sequence)}'
         loop = asyncio.get_running_loop()
         call = ObservedCall(
@@ -57,10 +57,10 @@
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 reader, writer = await self._connect()
                 call.sent_s = loop.time()
-                writer.write(_encode_request(call))
-                await _read_response(reader, call)
+                writer.write(encode_request(call, f'/{kind}/x'))
+                await read_response(reader, call)
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
-            self._disconnect()
+            self.disconnect()
         call.ended_s = loop.time()
         call.was_daemon_stopping = self._daemon.is_stopping
         call.is_affected_by_fault |= (
@@ -69,7 +69,7 @@
         )
         self._observations.calls.append(call)
         if not call.is_complete or self._rng.random() < RECONNECT_PROBABILITY:
-            self._disconnect()
+            self.disconnect()
 
     async def _connect(
         self,
@@ -80,33 +80,37 @@
             self._connection = await asyncio.open_connection(host, port)
         return self._connection
 
-    def _disconnect(self) -> None:
+    def disconnect(self) -> None:
+        """Abort the connection if there is one."""
         if self._connection is not None:
             self._connection[1].transport.abort()
             self._connection = None
 
 
-def _encode_request(call: ObservedCall) -> bytes:
+def encode_request(call: ObservedCall, path: str) -> bytes:
+    """Return the request of a call for a path."""
     method = 'GET' if call.kind == 'safe' else 'POST'
     lines = [
-        f'{method} /{call.kind}/x HTTP/1.1',
+        f'{method} {path} HTTP/1.1',
         'Host: calls.example',
         f'Request-Id: {call.request_id}',
         'Request-Deadline: 6000',
         f'X-Api-Key: {call.key}',
     ]
-    if call.kind == 'stream':
+    if call.kind in STREAM_KINDS:
         lines += ['Model: *', 'Token-Count: 100,10']
     return '\r\n'.join(lines).encode() + HEAD_END
 
 
-async def _read_response(
+async def read_response(
     reader: asyncio.StreamReader, call: ObservedCall
 ) -> None:
+    """Read a response and record it in the call."""
     head = (await reader.readuntil(HEAD_END)).decode('latin-1')
     lines = head.lower().split('\r\n')
     call.status = int(lines[0].split(' ')[1])
     headers = dict(line.split(': ', 1) for line in lines[1:] if ': ' in line)
+    call.answered_id = headers.get('request-id', '')
     call.response_seal = headers.get('response-seal', '')
     length = headers.get('content-length')
     if length is not None:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -21,13 +21,16 @@
 NOT_EXECUTED_STATUSES: Final = frozenset((408, 421, 429, 503))
 DENIED_STATUSES: Final = frozenset((401, 403, 404))
 HTTP_OK: Final = 200
+STREAM_KINDS: Final = frozenset(('stream', 'once'))
+AT_MOST_ONCE_KINDS: Final = frozenset(('unsafe', 'once'))
 
 
 @dataclasses.dataclass(slots=True)
 class ObservedCall:
     """One request as its caller observed it; times are event loop times.
 
-    The status is 0 if no response head arrived. `was_daemon_stopping` is
+    The status is 0 if no response head arrived. `answered_id` is the id in the
+    response. `was_daemon_stopping` is
     true if the daemon was in a planned stop when the call ended.
     `is_affected_by_fault` exempts the call from the checks of planned stops
     and drained replicas.
@@ -36,7 +39,7 @@
     request_id: str
     kind: str
     key: str
-    sent_s: float
+    sent_s: float = 0
     ended_s: float = 0
     status: int = 0
     response_seal: str = ''
@@ -44,6 +47,7 @@
     is_complete: bool = False
     is_affected_by_fault: bool = False
     was_daemon_stopping: bool = False
+    answered_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +102,10 @@
     store_fault_spans_s: list[tuple[float, float]] = dataclasses.field(
         default_factory=list
     )
+    # Statuses of the first answers of a plain request's runs.
+    statuses_by_id: collections.defaultdict[str, list[int]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
 
 
 def find_violations(observations: Observations) -> Iterator[str]:
@@ -109,6 +117,7 @@
         runs = runs_by_id.get(call.request_id, [])
         yield from _check_executions(call, runs)
         yield from _check_response(call)
+        yield from _check_answer(call, observations)
         yield from _check_planned_stop(call, runs, observations)
         yield from _check_key_withdrawal(call, runs, observations)
     yield from _check_drained_replicas(observations)
@@ -118,9 +127,11 @@
 def _check_executions(
     call: ObservedCall, runs: list[ObservedRun]
 ) -> Iterator[str]:
-    if call.kind == 'unsafe' and len(runs) > 1:
+    if call.kind not in AT_MOST_ONCE_KINDS:
+        return
+    if len(runs) > 1:
         yield f'{call.request_id}: executed {len(runs)} times'
-    if call.kind == 'unsafe' and runs and call.status in NOT_EXECUTED_STATUSES:
+    if runs and call.status in NOT_EXECUTED_STATUSES:
         yield f'{call.request_id}: got {call.status}, but was executed'
 
 
@@ -128,7 +139,7 @@
     if call.status == HTTP_OK and call.is_complete and not call.response_seal:
         yield f'{call.request_id}: no Response-Seal in a complete response'
     expected = tuple(range(1, EVENT_COUNT + 1))
-    if call.kind == 'stream' and call.status == HTTP_OK:
+    if call.kind in STREAM_KINDS and call.status == HTTP_OK:
         if call.events != expected[: len(call.events)]:
             yield f'{call.request_id}: events out of sequence: {call.events}'
         if call.is_complete and call.events != expected:
@@ -137,6 +148,18 @@
         yield f'{call.request_id}: denied with {call.status}'
 
 
+def _check_answer(
+    call: ObservedCall, observations: Observations
+) -> Iterator[str]:
+    if call.answered_id not in {'', call.request_id.lower()}:
+        yield f'{call.request_id}: got the answer to {call.answered_id}'
+    if call.kind in STREAM_KINDS or call.status != HTTP_OK:
+        return
+    statuses = observations.statuses_by_id[call.request_id]
+    if HTTP_OK not in statuses:
+        yield f'{call.request_id}: got 200, but was answered {statuses}'
+
+
 def _check_planned_stop(
     call: ObservedCall, runs: list[ObservedRun], observations: Observations
 ) -> Iterator[str]:
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -35,7 +35,6 @@
 Fault = Callable[['SoakWorld', random.Random], Awaitable[None]]
 
 FIRST_GENERATION = 1
-NEWEST_GENERATION = 4
 
 fault_by_name: dict[str, Fault] = {}
 _generation_by_name: dict[str, int] = {}
@@ -61,7 +60,8 @@
     )
 
 
-def _random_duration_s(rng: random.Random) -> float:
+def random_duration_s(rng: random.Random) -> float:
+    """Return how long a fault lasts, in seconds."""
     return rng.uniform(0.3, MAX_FAULT_S)
 
 
@@ -76,7 +76,7 @@
     )
     with world.record_store_fault():
         world.store.fault = rng.choice(faults)
-        await asyncio.sleep(_random_duration_s(rng))
+        await asyncio.sleep(random_duration_s(rng))
         world.store.fault = StoreFault.NONE
 
 
@@ -85,7 +85,7 @@
     """Make the store respond slowly for a while."""
     with world.record_store_fault():
         world.store.delay_s = rng.uniform(0.05, 0.4)
-        await asyncio.sleep(_random_duration_s(rng))
+        await asyncio.sleep(random_duration_s(rng))
         world.store.delay_s = 0
 
 
@@ -121,7 +121,7 @@
             kind for kind in ReplicaFault if kind is not ReplicaFault.SILENT
         ]
         replica.faults.extend(rng.choice(kinds) for _ in range(3))
-    await asyncio.sleep(_random_duration_s(rng))
+    await asyncio.sleep(random_duration_s(rng))
 
 
 @fault()
@@ -173,12 +173,12 @@
     In most cases, the daemons cannot read the store when that happens and have
     to stop accepting the key because their copy of the configuration is stale.
     """
-    async with _temporary_key(world) as key:
+    async with temporary_key(world) as key:
         with world.record_store_fault():
             world.store_proxy.link.is_backward_stalled = (
                 rng.random() < STORE_STALL_PROBABILITY
             )
-            await _withdraw(world, key)
+            await withdraw(world, key)
             await asyncio.sleep(8)
             world.store_proxy.link.restore()
         await asyncio.sleep(2)
@@ -229,11 +229,11 @@
     offset that the daemons have already read.
     """
     copy = world.store.take_copy()
-    async with _temporary_key(world) as key:
+    async with temporary_key(world) as key:
         with world.record_store_fault():
             world.store.fault = StoreFault.RESET
             world.store.reset()
-            await _withdraw(world, key)
+            await withdraw(world, key)
             await asyncio.sleep(rng.uniform(0.1, 1))
             world.store.restore(copy)
             await world.write_again()
@@ -256,7 +256,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _temporary_key(world: 'SoakWorld') -> AsyncIterator[str]:
+async def temporary_key(world: 'SoakWorld') -> AsyncIterator[str]:
     """Add a key, yield it once callers use it, and stop using it at the end."""
     key = f'gone-{world.config_version}'
     await world.put_configuration([key])
@@ -269,7 +269,8 @@
         caller.keys.remove(key)
 
 
-async def _withdraw(world: 'SoakWorld', key: str) -> None:
+async def withdraw(world: 'SoakWorld', key: str) -> None:
+    """Withdraw a key and note when the store had acknowledged it."""
     await world.put_configuration([])
     now_s = asyncio.get_running_loop().time()
     world.observations.withdrawn_s_by_key[key] = now_s
@@ -284,5 +285,5 @@
     link.is_refusing = kind == 'refuse'
     if kind in {'reset', 'refuse'}:
         proxy.reset()
-    await asyncio.sleep(_random_duration_s(rng))
+    await asyncio.sleep(random_duration_s(rng))
     link.restore()
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -17,6 +17,7 @@
     REPLICAS_TOPIC,
     StandInStore,
 )
+from tools.soak.answer_faults import NEWEST_GENERATION
 from tools.soak.callers import Caller
 from tools.soak.checks import Observations, ObservedRun, find_violations
 from tools.soak.const import (
@@ -28,17 +29,15 @@
     FAULT_PAUSE_S,
     HOST,
     KEY_WITHDRAWAL_S,
+    LARGE_BYTES,
+    LARGE_PATH,
     MODEL_REPLICA_COUNT,
     PLAIN_REPLICA_COUNT,
     STOP_GRACE_S,
 )
 from tools.soak.crashing_parts import CrashingParts
 from tools.soak.daemons import DaemonProcess
-from tools.soak.faults import (
-    NEWEST_GENERATION,
-    fault_by_name,
-    fault_names,
-)
+from tools.soak.faults import fault_by_name, fault_names
 from tools.soak.proxy import Proxy
 
 MS_PER_S = 1000
@@ -88,6 +87,8 @@
         self._seed = seed
         self._fault_names = fault_names(generation)
         self._extra_keys: list[str] = []
+        # Routes of the next configuration that only make it longer.
+        self.extra_routes = 0
         self._rng = random.Random(seed)
         self._folder = folder
         self._injected: list[str] = []
@@ -140,6 +141,8 @@
             name, self.observations, self.crashing_parts
         )
         replica.event_pause_s = EVENT_INTERVAL_S
+        replica.on_answer = self._note_answer
+        replica.body_bytes_by_path = {LARGE_PATH: LARGE_BYTES}
         replica.confidence = self._rng.choice((5, 95))
         await replica.start(HOST)
         proxy = Proxy(replica.address)
@@ -190,8 +193,13 @@
             entry['state'] = 'draining'
         await self.store.put(REPLICAS_TOPIC, name, entry)
 
+    def _note_answer(self, request_id: str, status: int) -> None:
+        self.observations.statuses_by_id[request_id].append(status)
+
     async def _write_configuration(self) -> None:
-        content = _configuration(self.config_version, self._extra_keys)
+        content = _configuration(
+            self.config_version, self._extra_keys, self.extra_routes
+        )
         await self.store.put(OPERATOR_TOPIC, 'config', content)
 
     @property
@@ -309,7 +317,9 @@
         self.store.stop()
 
 
-def _configuration(version: int, extra_keys: list[str]) -> dict[str, object]:
+def _configuration(
+    version: int, extra_keys: list[str], extra_routes: int
+) -> dict[str, object]:
     common = {
         'host': 'calls.example',
         'timeout_ms': 4000,
@@ -321,8 +331,21 @@
         {**common, 'kind': 'safe', 'max_attempts': 3},
         {**common, 'kind': 'unsafe', 'max_attempts': 2},
         {**common, 'kind': 'streaming', 'max_attempts': 4, **stream},
+        {
+            **common,
+            'kind': 'streaming',
+            'max_attempts': 4,
+            **stream,
+            'can_resume': False,
+        },
+        *(
+            {**common, 'kind': 'safe', 'max_attempts': 3}
+            for _ in range(extra_routes)
+        ),
     ]
-    for name, route in zip(('safe', 'unsafe', 'stream'), routes, strict=True):
+    names = ['safe', 'unsafe', 'stream', 'once']
+    names += [f'extra-{number}' for number in range(extra_routes)]
+    for name, route in zip(names, routes, strict=True):
         route |= {'name': name, 'path_prefix': f'/{name}/'}
     return {
         'version': version,
