Keep the status line pattern in the core, and one state for malformed input

Two fields of a connection said that its input is malformed, and the parser kept the bytes of a status line for a message that nobody reads.

Behaviour is unchanged: the same input is rejected for the same reasons. The tests of the gateway's parser, of stuttering, endless and broken responses, of callers' connections and of upstreams pass.

--- a/marigoldhoist/components/gateway/caller.py
+++ b/marigoldhoist/components/gateway/caller.py
@@ -5,7 +5,10 @@
 from typing import Final, Protocol
 
 from marigoldhoist.components.configuration.models import CallerLimits
-from marigoldhoist.components.gateway.connection import HttpConnection
+from marigoldhoist.components.gateway.connection import (
+    NO_MESSAGE,
+    HttpConnection,
+)
 from marigoldhoist.components.gateway.const import IDLE_TIMEOUT_FACTOR
 from marigoldhoist.components.gateway.errors import (
     ConnectionClosedError,
@@ -173,7 +176,7 @@
         super().data_received(data)
         if self._requests.head_bytes > self._registry.limits.max_head_bytes:
             self._is_head_too_large = True
-            self._is_malformed = True
+            self._malformed_reason = NO_MESSAGE
 
     async def _refuse(self, failure: RequestFailure) -> None:
         headers = [(b'Connection', b'close')]
--- a/marigoldhoist/components/gateway/connection.py
+++ b/marigoldhoist/components/gateway/connection.py
@@ -33,8 +33,8 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._queued_bytes = 0
-        self._is_malformed = False
-        self._malformed_reason = NO_MESSAGE
+        # Empty while the input is valid.
+        self._malformed_reason = ''
         self.is_closed = False
         self.was_reset = False
 
@@ -57,7 +57,7 @@
         return (
             bool(self._parser.items)
             or self._parser.is_in_message
-            or self._is_malformed
+            or bool(self._malformed_reason)
         )
 
     @property
@@ -74,15 +74,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and wake the reader."""
-        if self._is_malformed:
+        if self._malformed_reason:
             return
         try:
             self._parser.feed(data)
         except MergedHeadError:
-            self._is_malformed = True
             self._malformed_reason = MERGED_HEADS
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._is_malformed = True
+            self._malformed_reason = NO_MESSAGE
         self._queued_bytes += len(data)
         if self._queued_bytes > MAX_QUEUED_BYTES:
             self.transport.pause_reading()
@@ -116,7 +115,7 @@
         MalformedMessageError if the input is not valid HTTP.
         """
         while not self._parser.items:
-            if self._is_malformed:
+            if self._malformed_reason:
                 raise MalformedMessageError(self._malformed_reason)
             if self.is_closed:
                 raise ConnectionClosedError(
--- a/marigoldhoist/components/gateway/messages.py
+++ b/marigoldhoist/components/gateway/messages.py
@@ -3,13 +3,14 @@
 import collections
 import dataclasses
 import enum
-import re
 from collections.abc import Iterable
 from http import HTTPStatus
 from typing import Final
 
 import httptools
 
+from marigoldhoist.core.status_lines import STATUS_LINE_START
+
 CRLF: Final = b'\r\n'
 LAST_CHUNK: Final = b'0\r\n\r\n'
 # The colon, the space and the line end of a header.
@@ -19,7 +20,6 @@
 # Received bytes of a response that contain neither a complete head nor a part
 # of a body: an incomplete head, interim responses or trailers.
 MAX_RESPONSE_OVERHEAD_BYTES: Final = 64 * 1024
-STATUS_LINE_START: Final = re.compile(rb'HTTP/\d\.\d \d{3}')
 
 Header = tuple[bytes, bytes]
 
@@ -180,10 +180,8 @@
         """Parse received bytes; raise HttpParserError on invalid responses."""
         item_count = self._collector.item_count
         self._parser.feed_data(received)
-        if self._collector.merged_status_line:
-            raise MergedHeadError(
-                f'status line {self._collector.merged_status_line!r} in a head'
-            )
+        if self._collector.is_merged:
+            raise MergedHeadError('a status line in a head')
         if self._collector.item_count > item_count:
             self._overhead_bytes = 0
             return
@@ -203,8 +201,8 @@
         super().__init__()
         self._is_interim = False
         self._reason_phrase = b''
-        # The first status line that was found within a head.
-        self.merged_status_line = b''
+        # Whether a head contained the status line of another response.
+        self.is_merged = False
 
     def on_message_begin(self) -> None:
         """Start a new head."""
@@ -218,7 +216,7 @@
     def on_headers_complete(self) -> None:
         """Complete the head and queue it, unless it is interim (1xx)."""
         head = self._head
-        self.merged_status_line = self.merged_status_line or _find_status_line(
+        self.is_merged = self.is_merged or _has_status_line(
             self._reason_phrase, *(content for _, content in head.headers)
         )
         head.status = self.parser.get_status_code()
@@ -236,13 +234,13 @@
             super().on_message_complete()
 
     def _queue(self, item: Item) -> None:
-        if not self.merged_status_line:
+        if not self.is_merged:
             super()._queue(item)
 
 
-def _find_status_line(*parts: bytes) -> bytes:
-    """Return the first part that contains a status line, empty without one."""
-    return next((part for part in parts if STATUS_LINE_START.search(part)), b'')
+def _has_status_line(*parts: bytes) -> bool:
+    """Return whether any of the parts contains a status line."""
+    return any(STATUS_LINE_START.search(part) for part in parts)
 
 
 def _is_framed(head: MessageHead) -> bool:
--- a/marigoldhoist/components/upstreams/connections.py
+++ b/marigoldhoist/components/upstreams/connections.py
@@ -14,7 +14,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
 
-from marigoldhoist.components.gateway.messages import STATUS_LINE_START
+from marigoldhoist.core.status_lines import STATUS_LINE_START
 
 BLANK_LINES: Final = frozenset((b'\r\n', b'\n'))
 
