Share four pieces that the tests of this change wrote again

Each stands once now. No assertion is changed; the wait looks each 10 ms, as the harness did, in place of 20 ms in test_mirrors.

--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -18,7 +18,7 @@
 from marigoldhoist.core.kernel import Kernel, load_components
 from marigoldhoist.core.settings import Settings
 from marigoldhoist.platform.attach import attach_platform
-from tools.platform_standins.http import StandInServer
+from tools.platform_standins.http import HEAD_END, StandInServer
 from tools.platform_standins.replica import StandInReplica
 from tools.platform_standins.store import (
     OPERATOR_TOPIC,
@@ -88,6 +88,15 @@
     return kernel
 
 
+async def wait_for_version(kernel: Kernel, version: int) -> float:
+    """Wait for a configuration version; return its age in seconds."""
+    service = kernel.find(CONFIGURATION, ConfigurationService)
+    async with asyncio.timeout(TEST_TIMEOUT_S):
+        while service.current is None or service.current.version < version:
+            await asyncio.sleep(0.01)
+    return service.age_s
+
+
 class CallerResponse:
     """A response as the caller read it from the socket."""
 
@@ -131,6 +140,13 @@
     return f'{method} {path} HTTP/1.1\r\n{lines}\r\n'.encode('latin-1')
 
 
+async def read_response(reader: asyncio.StreamReader) -> CallerResponse:
+    """Read one response with a length from a kept connection."""
+    head = await reader.readuntil(HEAD_END)
+    length = int(CallerResponse(head).headers.get('content-length', '0'))
+    return CallerResponse(head + await reader.readexactly(length))
+
+
 async def exchange_bytes(address: str, raw: bytes) -> CallerResponse:
     """Send raw bytes to an address and read until the connection is closed."""
     host, _, port = address.partition(':')
@@ -229,10 +245,7 @@
         await self.store.put(
             OPERATOR_TOPIC, 'config', configuration(version, **overrides)
         )
-        service = self.kernel.find(CONFIGURATION, ConfigurationService)
-        async with asyncio.timeout(TEST_TIMEOUT_S):
-            while service.current is None or service.current.version < version:
-                await asyncio.sleep(0.01)
+        await wait_for_version(self.kernel, version)
 
     async def add_replica(
         self, name: str, service: str, **overrides: Any
--- a/tests/platform/stuttering_replica.py
+++ b/tests/platform/stuttering_replica.py
@@ -11,10 +11,10 @@
     CallerResponse,
     GatewayHarness,
     encode_request,
+    read_response,
     running_gateway,
 )
 from tools.platform_standins.http import (
-    HEAD_END,
     ReceivedRequest,
     StandInServer,
     encode_response,
@@ -69,20 +69,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Exchange:
-    """One call with its response; the status is 0 without a response."""
+    """One call with its response."""
 
     path: str
     request_id: str
     response: CallerResponse
 
 
-async def read_response(reader: asyncio.StreamReader) -> CallerResponse:
-    """Read one response with a length."""
-    head = await reader.readuntil(HEAD_END)
-    length = int(CallerResponse(head).headers.get('content-length', '0'))
-    return CallerResponse(head + await reader.readexactly(length))
-
-
 async def _run_caller(
     harness: GatewayHarness, number: int, exchanges: list[Exchange]
 ) -> None:
--- a/tests/platform/test_handed_over_answers.py
+++ b/tests/platform/test_handed_over_answers.py
@@ -17,43 +17,30 @@
 from marigoldhoist.core.verdict import Verdict
 from marigoldhoist.platform.dialect import PlatformDialect
 from tests.platform.harness import HOST
+from tests.platform.repeating_server import RepeatingServer
 from tools.platform_standins.http import (
+    ReceivedRequest,
     StandInServer,
     encode_response,
-    read_request,
 )
 
 CALLS: Final = 4
 
 
-class RepeatingPeer(StandInServer):
-    """A daemon that answers with its last answer again before each answer.
-
-    Its answers have no ids if it `omits_ids`.
-    """
-
-    def __init__(self, *, omits_ids: bool = False) -> None:
-        super().__init__()
-        self._omits_ids = omits_ids
-        self.connections = 0
-
-    async def serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Answer the requests of one connection with their paths."""
-        self.connections += 1
-        last = b''
-        request = await read_request(reader)
-        while request is not None:
-            headers = {'X-Handover-Replica': 'p1', 'Keep-Alive': 'timeout=10'}
-            if not self._omits_ids:
-                headers['Request-Id'] = request.headers['request-id']
-            answer = encode_response(200, headers, request.path.encode())
-            writer.write(last)
-            await asyncio.sleep(0.01)
-            writer.write(answer)
-            last = answer
-            request = await read_request(reader)
+def answer(request: ReceivedRequest) -> bytes:
+    """Return the answer of a daemon: the path, from one of its replicas."""
+    headers = {
+        'X-Handover-Replica': 'p1',
+        'Request-Id': request.headers['request-id'],
+        'Keep-Alive': 'timeout=10',
+    }
+    return encode_response(200, headers, request.path.encode())
+
+
+def answer_without_id(request: ReceivedRequest) -> bytes:
+    """Return an answer that does not say which request it is for."""
+    headers = {'X-Handover-Replica': 'p1', 'Keep-Alive': 'timeout=10'}
+    return encode_response(200, headers, request.path.encode())
 
 
 async def hand_over(sender: PeerSender, peer: StandInServer, path: str) -> str:
@@ -93,7 +80,7 @@
             peer.stop()
             return bodies
 
-        peer = RepeatingPeer()
+        peer = RepeatingServer(answer, copies=1)
         paths = [f'/safe/{number}' for number in range(CALLS)]
         assert asyncio.run(scenario()) == paths
         assert peer.connections < CALLS
@@ -106,7 +93,7 @@
             finally:
                 peer.stop()
 
-        peer = RepeatingPeer(omits_ids=True)
+        peer = RepeatingServer(answer_without_id, copies=1)
         with pytest.raises(AttemptError, match='without id') as failure:
             asyncio.run(scenario())
         assert failure.value.verdict is Verdict.MAY_HAVE_RUN
--- a/tests/platform/test_late_copies.py
+++ b/tests/platform/test_late_copies.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.platform.harness import CallerResponse, running_gateway
+from tests.platform.repeating_server import RepeatingServer
 from tools.platform_standins.http import (
     ReceivedRequest,
     StandInServer,
@@ -15,30 +16,6 @@
 CALLS = 8
 
 
-class RepeatingReplica(StandInServer):
-    """Sends its last answer again once the next request has come."""
-
-    def __init__(self, copies: int) -> None:
-        super().__init__()
-        self._copies = copies
-        self.reused_connections = 0
-
-    async def serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Answer the requests of one connection with their paths."""
-        last = b''
-        while True:
-            request = await read_request(reader)
-            if request is None:
-                return
-            self.reused_connections += bool(last)
-            writer.write(last * self._copies)
-            await asyncio.sleep(0.01)
-            last = _answer(request)
-            writer.write(last)
-
-
 def _answer(request: ReceivedRequest) -> bytes:
     headers = {
         'Request-Id': request.headers['request-id'],
@@ -60,7 +37,7 @@
 
         async def scenario() -> tuple[list[CallerResponse], int]:
             async with running_gateway() as harness:
-                replica = RepeatingReplica(copies)
+                replica = RepeatingServer(_answer, copies)
                 await harness.replace_replicas('plain', replica)
                 responses = [await harness.call(path) for path in paths]
                 replica.stop()
--- a/tests/platform/test_mirrors.py
+++ b/tests/platform/test_mirrors.py
@@ -26,6 +26,7 @@
     daemon_section,
     running_gateway,
     start_kernel,
+    wait_for_version,
 )
 from tools.platform_standins.store import OPERATOR_TOPIC
 from tools.world.addresses import next_address
@@ -43,15 +44,6 @@
     )
 
 
-async def wait_for_version(kernel: Kernel, version: int) -> float:
-    """Wait for a configuration version; return its age in seconds."""
-    service = kernel.find(CONFIGURATION, ConfigurationService)
-    async with asyncio.timeout(TEST_TIMEOUT_S):
-        while service.current is None or service.current.version < version:
-            await asyncio.sleep(0.02)
-    return service.age_s
-
-
 class TestStoreUnreachable:
     """A daemon without the store, next to a peer that can reach it."""
 
--- a/tests/platform/test_stalled_callers.py
+++ b/tests/platform/test_stalled_callers.py
@@ -1,7 +1,6 @@
 """Callers that read nothing for a while when their answer is ready."""
 
 import asyncio
-import socket
 from typing import Final
 
 from tests.platform.harness import (
@@ -10,19 +9,20 @@
     CallerResponse,
     GatewayHarness,
     encode_request,
+    read_response,
     route,
     running_gateway,
 )
-from tests.platform.stuttering_replica import read_response
 from tools.platform_standins.http import (
     StandInServer,
     encode_response,
     read_request,
 )
+from tools.platform_standins.slow_client import (
+    LARGE_BYTES,
+    connect_with_small_buffer,
+)
 
-# More than the buffers of one connection hold.
-LARGE_BYTES: Final = 7 * 1024 * 1024
-RECEIVE_BUFFER_BYTES: Final = 64 * 1024
 STALL_S: Final = 0.6
 # Its timeout is shorter than the stall.
 SHORT_ROUTE: Final = route('safe', timeout_ms=300)
@@ -51,17 +51,7 @@
     harness: GatewayHarness, paths: list[str]
 ) -> list[CallerResponse]:
     """Send calls on one connection, reading each answer only after a while."""
-    host, _, port = harness.address.partition(':')
-    connected = socket.socket()
-    connected.setsockopt(
-        socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-    )
-    connected.setblocking(False)
-    loop = asyncio.get_running_loop()
-    await loop.sock_connect(connected, (host, int(port)))
-    reader, writer = await asyncio.open_connection(
-        sock=connected, limit=RECEIVE_BUFFER_BYTES
-    )
+    reader, writer = await connect_with_small_buffer(harness.address)
     responses = []
     for path in paths:
         writer.write(encode_request(path, Connection='keep-alive'))
--- a/tools/soak/answer_faults.py
+++ b/tools/soak/answer_faults.py
@@ -4,11 +4,10 @@
 import contextlib
 import itertools
 import random
-import socket
 from typing import TYPE_CHECKING, Final
 
-from marigoldhoist.core.identity import split_address
 from tools.platform_standins.replica import ReplicaFault
+from tools.platform_standins.slow_client import connect_with_small_buffer
 from tools.platform_standins.stutters import StutteringWriter, stutter_by_name
 from tools.soak.callers import Caller, encode_request, read_response
 from tools.soak.checks import ObservedCall
@@ -22,7 +21,6 @@
 # Answers of a replica that are drawn ahead while it stutters.
 STUTTERED_ANSWERS: Final = 60
 ONCE_CALLS: Final = 6
-RECEIVE_BUFFER_BYTES: Final = 64 * 1024
 MIN_STALL_S: Final = 1.0
 MAX_STALL_S: Final = 5.0
 STALLED_PATHS: Final = (LARGE_PATH, '/safe/x', '/safe/x')
@@ -81,7 +79,7 @@
     expected_errors = (OSError, TimeoutError, asyncio.IncompleteReadError)
     with contextlib.suppress(*expected_errors):
         async with asyncio.timeout(CALL_TIMEOUT_S + MAX_STALL_S):
-            reader, writer = await _connect_with_small_buffer(
+            reader, writer = await connect_with_small_buffer(
                 daemon.caller_address
             )
             with contextlib.closing(writer):
@@ -114,19 +112,3 @@
             await asyncio.sleep(6)
             world.store_proxy.link.restore()
         await asyncio.sleep(2)
-
-
-async def _connect_with_small_buffer(
-    address: str,
-) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """Connect with buffers that a large answer does not fit into."""
-    connected = socket.socket()
-    connected.setsockopt(
-        socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-    )
-    connected.setblocking(False)
-    loop = asyncio.get_running_loop()
-    await loop.sock_connect(connected, split_address(address))
-    return await asyncio.open_connection(
-        sock=connected, limit=RECEIVE_BUFFER_BYTES
-    )
--- a/tools/soak/const.py
+++ b/tools/soak/const.py
@@ -29,7 +29,6 @@
 
 # Path whose answers are larger than the buffers of a connection.
 LARGE_PATH: Final = '/safe/large'
-LARGE_BYTES: Final = 7 * 1024 * 1024
 
 MAX_CALL_PAUSE_S: Final = 0.05
 CALL_TIMEOUT_S: Final = 8.0
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -12,6 +12,7 @@
 
 from tools.platform_standins.http import ReceivedRequest
 from tools.platform_standins.replica import StandInReplica
+from tools.platform_standins.slow_client import LARGE_BYTES
 from tools.platform_standins.store import (
     OPERATOR_TOPIC,
     REPLICAS_TOPIC,
@@ -29,7 +30,6 @@
     FAULT_PAUSE_S,
     HOST,
     KEY_WITHDRAWAL_S,
-    LARGE_BYTES,
     LARGE_PATH,
     MODEL_REPLICA_COUNT,
     PLAIN_REPLICA_COUNT,
