--- a/tests/components/feeds/test_eras.py
+++ b/tests/components/feeds/test_eras.py
@@ -5,7 +5,7 @@
 from marigoldhoist.components.feeds.const import ERA_SETTLE_S
 from marigoldhoist.components.feeds.errors import HistoryLostError
 from marigoldhoist.components.feeds.models import Position, ReadResult
-from tests.components.feeds.test_feed import Fixture, result
+from tests.components.feeds.scripted_feed import Fixture, result
 
 WHOLE = result(5, 'a', 'b', is_whole=True, era=3)
 
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -21,6 +21,7 @@
 from tools.soak.answer_faults import NEWEST_GENERATION
 from tools.soak.callers import Caller
 from tools.soak.checks import Observations, ObservedRun, find_violations
+from tools.soak.configuration import make_configuration
 from tools.soak.const import (
     AGREEMENT_S,
     CALLER_COUNT,
@@ -197,7 +198,7 @@
         self.observations.statuses_by_id[request_id].append(status)
 
     async def _write_configuration(self) -> None:
-        content = _configuration(
+        content = make_configuration(
             self.config_version, self._extra_keys, self.extra_routes
         )
         await self.store.put(OPERATOR_TOPIC, 'config', content)
@@ -315,41 +316,3 @@
             proxy.stop()
         self.store_proxy.stop()
         self.store.stop()
-
-
-def _configuration(
-    version: int, extra_keys: list[str], extra_routes: int
-) -> dict[str, object]:
-    common = {
-        'host': 'calls.example',
-        'timeout_ms': 4000,
-        'slo_ms': 1000,
-        'service': 'plain',
-    }
-    stream = {'service': 'model', 'can_resume': True, 'sizes': ['m0', 'm1']}
-    routes = [
-        {**common, 'kind': 'safe', 'max_attempts': 3},
-        {**common, 'kind': 'unsafe', 'max_attempts': 2},
-        {**common, 'kind': 'streaming', 'max_attempts': 4, **stream},
-        {
-            **common,
-            'kind': 'streaming',
-            'max_attempts': 4,
-            **stream,
-            'can_resume': False,
-        },
-        *(
-            {**common, 'kind': 'safe', 'max_attempts': 3}
-            for _ in range(extra_routes)
-        ),
-    ]
-    names = ['safe', 'unsafe', 'stream', 'once']
-    names += [f'extra-{number}' for number in range(extra_routes)]
-    for name, route in zip(names, routes, strict=True):
-        route |= {'name': name, 'path_prefix': f'/{name}/'}
-    return {
-        'version': version,
-        'routes': routes,
-        'services': [{'name': 'plain'}, {'name': 'model'}],
-        'tenants': [{'name': 'w', 'api_keys': ['kept', *extra_keys]}],
-    }
