--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -272,9 +272,7 @@
         """Start a replica and register it in the store."""
         self.replicas.append(replica)
         await replica.start(f'{self.network}.{100 + len(self.replicas)}')
-        entry = replica.entry(
-            service, zone=zone, born=int(time.time() * 1000)
-        )
+        entry = replica.entry(service, zone=zone, born=int(time.time() * 1000))
         self.entry_by_id[name] = entry
         await self.store.put(REPLICAS_TOPIC, name, entry)
 
