--- a/tools/soak/daemons.py
+++ b/tools/soak/daemons.py
@@ -44,6 +44,11 @@
         """Return whether the process is running."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self) -> int:
+        """Return the id of the process, zero before its first start."""
+        return 0 if self._process is None else self._process.pid
+
     def start(self, seeds: list[str]) -> None:
         """Write the settings file and start the process."""
         settings = {
--- a/tools/world/daemons.py
+++ b/tools/world/daemons.py
@@ -37,7 +37,14 @@
         platform = self._world.platform_address
         settings = self._folder / f'{host}.json'
         settings.write_text(
-            settings_text(host, domain, address, platform, platform)
+            settings_text(
+                host,
+                domain,
+                address,
+                platform,
+                platform,
+                self._world.entry_settings,
+            )
         )
         self._world.register_host(
             HostEntry(host, HostRole.DAEMON, address, PEER_PORT, domain)
--- a/tools/world/processes.py
+++ b/tools/world/processes.py
@@ -65,6 +65,14 @@
         self._standin_names.add(name)
         self.start(name, sys.executable, *module)
 
+    def pid_of(self, name: str) -> int:
+        """Return the id of a process."""
+        return self._process_by_name[name].pid
+
+    def is_running(self, name: str) -> bool:
+        """Return whether a process has not ended."""
+        return self._process_by_name[name].poll() is None
+
     def kill(self, name: str) -> None:
         """Kill a process with SIGKILL and wait for its end."""
         process = self._process_by_name.pop(name)
