--- a/marigoldhoist/components/gateway/connection.py
+++ b/marigoldhoist/components/gateway/connection.py
@@ -11,6 +11,8 @@
 )
 from marigoldhoist.components.gateway.messages import (
     Item,
+)
+from marigoldhoist.components.gateway.parsers import (
     MergedHeadError,
     RequestParser,
     ResponseParser,
--- a/marigoldhoist/components/gateway/connection_input.py
+++ b/marigoldhoist/components/gateway/connection_input.py
@@ -5,7 +5,9 @@
 from typing import Final
 
 from marigoldhoist.components.configuration.models import CallerLimits
-from marigoldhoist.components.gateway.messages import RequestParser
+from marigoldhoist.components.gateway.parsers import (
+    RequestParser,
+)
 from marigoldhoist.components.intake.pace import InputPace
 from marigoldhoist.components.intake.room import HeldInput, InputRoom
 from marigoldhoist.core.body import Body
--- a/marigoldhoist/components/gateway/incoming.py
+++ b/marigoldhoist/components/gateway/incoming.py
@@ -14,6 +14,8 @@
 from marigoldhoist.components.gateway.messages import (
     Item,
     MessageHead,
+)
+from marigoldhoist.components.gateway.parsers import (
     RequestParser,
 )
 from marigoldhoist.components.gateway.upload_policy import (
--- a/marigoldhoist/components/gateway/pool.py
+++ b/marigoldhoist/components/gateway/pool.py
@@ -20,8 +20,10 @@
 )
 from marigoldhoist.components.gateway.errors import AttemptError
 from marigoldhoist.components.gateway.events import INPUT_AFTER_RESPONSE
-from marigoldhoist.components.gateway.messages import ResponseParser
 from marigoldhoist.components.gateway.models import Call
+from marigoldhoist.components.gateway.parsers import (
+    ResponseParser,
+)
 from marigoldhoist.core.body import Body
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.verdict import Verdict
--- a/tests/components/gateway/test_connection_input.py
+++ b/tests/components/gateway/test_connection_input.py
@@ -6,9 +6,9 @@
 from marigoldhoist.components.gateway.connection_input import ConnectionInput
 from marigoldhoist.components.gateway.messages import (
     MessageHead,
-    RequestParser,
     request_bytes,
 )
+from marigoldhoist.components.gateway.parsers import RequestParser
 from marigoldhoist.components.intake.room import InputRoom
 from marigoldhoist.components.intake.settings import IntakeSettings
 
--- a/tests/components/gateway/test_messages.py
+++ b/tests/components/gateway/test_messages.py
@@ -11,11 +11,13 @@
 from marigoldhoist.components.gateway.messages import (
     End,
     MessageHead,
-    RequestParser,
-    ResponseParser,
     request_bytes,
     response_bytes,
 )
+from marigoldhoist.components.gateway.parsers import (
+    RequestParser,
+    ResponseParser,
+)
 
 TWO_REQUESTS = request_bytes(
     'POST', b'/a', [(b'Host', b'h')], b'body'
--- a/tests/test_log_lines.py
+++ b/tests/test_log_lines.py
@@ -55,6 +55,8 @@
     'INPUT_AFTER_RESPONSE': {'replica'},
     'CALLER_STALLED': REQUEST | {'waited_s'},
     'CALLER_MALFORMED': {'reason'},
+    'UPLOAD_REFUSED': {'request_id', 'code', 'reason', 'retry_after_s'}
+    | {'announced_bytes', 'configuration', 'configuration_age_s'},
     'CALL_HANDLER_FAILED': {'error'},
     'GATEWAY_LISTENING': {'callers'},
     'STOP_BEGUN': {'open', 'serving', 'timed_out'},
