Accept no answer without a length that ended before the upload

What callers saw: a part of an answer as a complete 200. A replica answers a long upload without a length and ends while the upload is still written.

Cause: the end of the connection ends such an answer, and nobody looked whether the replica had got the request.

Change: at that end, the write buffer and what the kernel has not got acknowledged are counted. If any is left, or the write was not done, the answer counts as cut.

What it cannot tell: an upload that the host of the replica has acknowledged and the replica has not read.

--- a/marigoldhoist/components/gateway/connection.py
+++ b/marigoldhoist/components/gateway/connection.py
@@ -102,7 +102,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake the waiting reader and writer."""
         self.is_closed = True
-        self.was_reset = exc is not None
+        self.was_reset = self.was_reset or exc is not None
         self._input_event.set()
         self._writable.set()
 
--- a/marigoldhoist/components/gateway/events.py
+++ b/marigoldhoist/components/gateway/events.py
@@ -70,6 +70,13 @@
     'More bytes followed a complete response, so that its connection is not'
     ' used again.',
 )
+SEND_QUEUE_UNKNOWN = declare_event(
+    3824,
+    'send_queue_unknown',
+    'warning',
+    'The kernel did not tell how much of a request a replica has not'
+    ' acknowledged; it counts as nothing.',
+)
 CALLER_STALLED = declare_event(
     3822,
     'caller_stalled',
--- a/marigoldhoist/components/gateway/pool.py
+++ b/marigoldhoist/components/gateway/pool.py
@@ -1,8 +1,11 @@
 """Pool of keep-alive connections to replicas."""
 
+import array
 import asyncio
 import dataclasses
+import fcntl
 import socket
+import termios
 from collections.abc import Sequence
 from typing import Final
 
@@ -19,7 +22,10 @@
     TCP_USER_TIMEOUT_MS,
 )
 from marigoldhoist.components.gateway.errors import AttemptError
-from marigoldhoist.components.gateway.events import INPUT_AFTER_RESPONSE
+from marigoldhoist.components.gateway.events import (
+    INPUT_AFTER_RESPONSE,
+    SEND_QUEUE_UNKNOWN,
+)
 from marigoldhoist.components.gateway.models import Call
 from marigoldhoist.components.gateway.parsers import (
     ResponseParser,
@@ -55,6 +61,7 @@
         self.is_idle = False
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._request_count = 0
+        self._is_writing = False
         self._refused_id = ''
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -65,14 +72,17 @@
     async def write_request(self, head: bytes, body: Body) -> None:
         """Write a request, part by part as the write buffer drains.
 
-        A replica that closes the connection meanwhile may have answered.
+        A replica that closes the connection meanwhile may have answered, but
+        an answer that ends with its connection is not complete then.
         """
         self._request_count += 1
+        self._is_writing = True
         parts = iter(body.parts)
         part = head + next(parts, b'')
         while part and not self.is_closed:
             await self.write(part)
             part = next(parts, b'')
+        self._is_writing = False
 
     def take_refusal(self, request_id: str, answered_id: str) -> bool:
         """Note a refusal; return whether it is certainly of this request.
@@ -86,6 +96,23 @@
             return not is_repeated
         return self._request_count == 1
 
+    def eof_received(self) -> bool:
+        """Note whether the replica ended before it had the whole request."""
+        if self._parser.is_in_message:
+            self.was_reset = self._is_writing or self._unsent_bytes() > 0
+        return super().eof_received()
+
+    def _unsent_bytes(self) -> int:
+        """Return the bytes that the replica's host has not acknowledged."""
+        buffered = self.transport.get_write_buffer_size()
+        connected_socket = self.transport.get_extra_info('socket')
+        count = array.array('i', (0,))
+        try:
+            fcntl.ioctl(connected_socket.fileno(), termios.TIOCOUTQ, count)
+        except OSError as error:
+            emit(SEND_QUEUE_UNKNOWN, error=str(error))
+        return buffered + count[0]
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if it is idle."""
         super().data_received(data)
--- a/tests/test_log_lines.py
+++ b/tests/test_log_lines.py
@@ -57,6 +57,7 @@
     'CALLER_MALFORMED': {'reason'},
     'UPLOAD_REFUSED': {'request_id', 'code', 'reason', 'retry_after_s'}
     | {'announced_bytes', 'configuration', 'configuration_age_s'},
+    'SEND_QUEUE_UNKNOWN': {'error'},
     'CALL_HANDLER_FAILED': {'error'},
     'GATEWAY_LISTENING': {'callers'},
     'STOP_BEGUN': {'open', 'serving', 'timed_out'},
