--- a/marigoldhoist/cli/client.py
+++ b/marigoldhoist/cli/client.py
@@ -14,6 +14,7 @@
     URL_VARIABLE,
 )
 from marigoldhoist.cli.errors import CommandError
+from marigoldhoist.core.http_client import new_pool
 
 HTTP_UNAUTHORIZED = 401
 HTTP_ERROR = 400
@@ -25,7 +26,7 @@
     def __init__(self) -> None:
         self._url = os.environ.get(URL_VARIABLE, DEFAULT_URL)
         self._key = os.environ.get(KEY_VARIABLE, '')
-        self._pool = urllib3.PoolManager(retries=False)
+        self._pool = new_pool(max_hosts=1)
 
     def get(self, path: str) -> Any:
         """Return the decoded response, or raise CommandError."""
--- a/marigoldhoist/components/hosts/service.py
+++ b/marigoldhoist/components/hosts/service.py
@@ -9,6 +9,7 @@
 from marigoldhoist.components.hosts.settings import HostSettings
 from marigoldhoist.core.decoding import decode_json
 from marigoldhoist.core.events import emit
+from marigoldhoist.core.http_client import new_pool
 from marigoldhoist.core.kernel import BaseService, Kernel
 
 
@@ -18,7 +19,7 @@
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._settings = kernel.settings.section(HostSettings)
-        self._pool = urllib3.PoolManager(num_pools=1, retries=False)
+        self._pool = new_pool(max_hosts=1)
         self._is_readable = True
         self.hosts_by_name: dict[str, HostEntry] = {}
 
--- a/marigoldhoist/components/leases/const.py
+++ b/marigoldhoist/components/leases/const.py
@@ -15,6 +15,8 @@
 APPEND_TIMEOUT_S: Final = 2.0
 RELEASE_TIMEOUT_S: Final = 0.5
 
+# Engines to which connections are kept.
+MAX_HOSTS: Final = 10
 ORDER_PATH: Final = '/orders'
 ORDER_TIMEOUT_S: Final = 5.0
 # Longest assumed pause of a process, after which it may still send an order
--- a/marigoldhoist/components/leases/orders.py
+++ b/marigoldhoist/components/leases/orders.py
@@ -11,6 +11,7 @@
 from marigoldhoist.components.leases.const import (
     HTTP_CONFLICT,
     HTTP_OK,
+    MAX_HOSTS,
     MAX_PROCESS_PAUSE_S,
     ORDER_PATH,
     ORDER_TIMEOUT_S,
@@ -23,6 +24,7 @@
 )
 from marigoldhoist.core.decoding import decode_json
 from marigoldhoist.core.events import emit
+from marigoldhoist.core.http_client import new_pool
 from marigoldhoist.core.verdict import Verdict
 
 
@@ -82,7 +84,7 @@
     """
 
     def __init__(self) -> None:
-        self._pool = urllib3.PoolManager(retries=False)
+        self._pool = new_pool(MAX_HOSTS)
         self._has_fencing_by_url: dict[str, bool] = {}
 
     def send(
--- a/marigoldhoist/components/platform_log/client.py
+++ b/marigoldhoist/components/platform_log/client.py
@@ -7,6 +7,8 @@
 import urllib3
 
 from marigoldhoist.components.platform_log.const import (
+    CONNECTIONS_PER_HOST,
+    MAX_LOG_HOSTS,
     READ_LIMIT_RECORDS,
     READ_TIMEOUT_MARGIN_S,
 )
@@ -22,6 +24,7 @@
 )
 from marigoldhoist.components.platform_log.settings import LogSettings
 from marigoldhoist.core.decoding import decode_json
+from marigoldhoist.core.http_client import new_pool
 
 HTTP_OK = 200
 HTTP_SERVER_ERROR = 500
@@ -55,7 +58,7 @@
 
     def __init__(self, settings: LogSettings) -> None:
         self._settings = settings
-        self._pool = urllib3.PoolManager(num_pools=4, maxsize=8, retries=False)
+        self._pool = new_pool(MAX_LOG_HOSTS, CONNECTIONS_PER_HOST)
 
     def read(
         self,
--- a/marigoldhoist/components/platform_log/const.py
+++ b/marigoldhoist/components/platform_log/const.py
@@ -10,6 +10,8 @@
 FOLLOWED_STREAMS: Final = (TABLE_STREAM, WORK_STREAM)
 
 READ_LIMIT_RECORDS: Final = 500
+MAX_LOG_HOSTS: Final = 4
+CONNECTIONS_PER_HOST: Final = 8
 # Added to the long poll's wait for the timeout of the HTTP read.
 READ_TIMEOUT_MARGIN_S: Final = 2.0
 # Pause before a failed read or append is retried.
--- a/marigoldhoist/components/ratings/service.py
+++ b/marigoldhoist/components/ratings/service.py
@@ -20,6 +20,7 @@
 from marigoldhoist.components.ratings.settings import RatingSettings
 from marigoldhoist.core.decoding import decode_json
 from marigoldhoist.core.events import emit
+from marigoldhoist.core.http_client import new_pool
 from marigoldhoist.core.kernel import BaseService, Kernel
 
 
@@ -33,7 +34,7 @@
         self._kernel = kernel
         self._settings = kernel.settings.section(RatingSettings)
         self._quality = kernel.find(QUALITY, QualityService)
-        self._pool = urllib3.PoolManager(num_pools=1, retries=False)
+        self._pool = new_pool(max_hosts=1)
         self._recent = RecentAnswers()
         self._offset = 0
         self._is_readable = True
--- a/marigoldhoist/components/upstreams/monitor.py
+++ b/marigoldhoist/components/upstreams/monitor.py
@@ -5,7 +5,6 @@
 
 from result import Err
 
-from marigoldhoist.components.upstreams.connections import new_pool
 from marigoldhoist.components.upstreams.const import (
     MAX_POOLS,
     POLL_AFTER_USE_S,
@@ -27,6 +26,7 @@
 from marigoldhoist.components.upstreams.registry import ReplicaRegistry
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.events import emit
+from marigoldhoist.core.http_client import new_pool
 
 
 class ReplicaMonitor:
--- a/marigoldhoist/components/upstreams/probes.py
+++ b/marigoldhoist/components/upstreams/probes.py
@@ -4,7 +4,6 @@
 import urllib3
 from result import Err, Ok, Result
 
-from marigoldhoist.components.upstreams.connections import new_pool
 from marigoldhoist.components.upstreams.const import (
     BYTES_PER_POLL,
     LOAD_PATH,
@@ -20,6 +19,7 @@
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.const import MS_PER_S
 from marigoldhoist.core.decoding import decode_json
+from marigoldhoist.core.http_client import new_pool
 
 PROBE_HEADERS = {'Connection': 'close'}
 
--- a/marigoldhoist/components/upstreams/service.py
+++ b/marigoldhoist/components/upstreams/service.py
@@ -8,7 +8,6 @@
 
 from marigoldhoist.components.hosts.const import COMPONENT as HOSTS
 from marigoldhoist.components.hosts.service import HostService
-from marigoldhoist.components.upstreams.connections import new_pool
 from marigoldhoist.components.upstreams.const import (
     CANCEL_PATH,
     CONNECTIONS_PER_REPLICA,
@@ -25,6 +24,7 @@
 from marigoldhoist.components.upstreams.settings import UpstreamSettings
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.errors import ErrorCode, RequestFailure
+from marigoldhoist.core.http_client import new_pool
 from marigoldhoist.core.kernel import BaseService, Kernel
 from marigoldhoist.core.verdict import Verdict
 
--- a/marigoldhoist/components/upstreams/connections.py
+++ b/marigoldhoist/core/http_client.py
@@ -1,18 +1,23 @@
-"""HTTP connections to upstreams that detect incomplete response heads.
+"""HTTP connections that detect incomplete and invalid responses.
 
 `http.client` takes the end of a connection in the middle of a response's head
 for the end of the head, so that a truncated response looks like one with an
 empty body. It parses a head that was cut off and the next response as one head,
 with the status of the first.
+
+`urllib3` goes on to the response if the request cannot be written, as the
+server may have answered early. The failed write has taken the error of the
+socket then, so that a response without a length seems to end in order.
 """
 
 import http.client
 from io import BufferedReader
-from typing import BinaryIO, Final, cast
+from typing import Any, BinaryIO, Final, cast
 
 import urllib3
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
+from urllib3.response import HTTPResponse
 
 from marigoldhoist.core.status_lines import STATUS_LINE_START
 
@@ -52,7 +57,7 @@
 
 class _WholeHeadResponse(http.client.HTTPResponse):
     def begin(self) -> None:
-        """Read the head; raise HTTPException if it is incomplete."""
+        """Read the head; raise HTTPException if it is invalid."""
         stream = self.fp
         self.fp = cast(BufferedReader, _HeadReader(stream))
         try:
@@ -62,20 +67,45 @@
                 self.fp = stream
 
 
-class _UpstreamConnection(HTTPConnection):
+class _StrictConnection(HTTPConnection):
     response_class = _WholeHeadResponse
 
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._is_request_cut = False
+
+    def request(self, *arguments: Any, **options: Any) -> None:
+        """Send a request; note whether it was written to its end."""
+        self._is_request_cut = True
+        super().request(*arguments, **options)
+        self._is_request_cut = False
+
+    def getresponse(self) -> HTTPResponse:
+        """Return the response.
+
+        Raise HTTPException if it ends with its connection, although that was
+        lost before.
+        """
+        response = super().getresponse()
+        has_length = response.chunked or response.length_remaining is not None
+        if self._is_request_cut and not has_length:
+            raise http.client.IncompleteRead(b'')
+        return response
+
 
-class _UpstreamConnectionPool(HTTPConnectionPool):
-    ConnectionCls = _UpstreamConnection
+class _StrictConnectionPool(HTTPConnectionPool):
+    ConnectionCls = _StrictConnection
 
 
 def new_pool(
     max_hosts: int, connections_per_host: int = 1
 ) -> urllib3.PoolManager:
-    """Return a pool that never retries; truncated heads raise HTTPError."""
+    """Return a pool that never retries; bad responses raise HTTPError."""
     pool = urllib3.PoolManager(
         num_pools=max_hosts, maxsize=connections_per_host, retries=False
     )
-    pool.pool_classes_by_scheme = {'http': _UpstreamConnectionPool}
+    pool.pool_classes_by_scheme = {
+        **pool.pool_classes_by_scheme,
+        'http': _StrictConnectionPool,
+    }
     return pool
--- a/tests/components/upstreams/test_connections.py
+++ b/tests/core/test_http_client.py
@@ -1,4 +1,4 @@
-"""Tests of responses whose head is cut off."""
+"""Tests of responses that are cut off or invalid."""
 
 import socket
 import threading
@@ -8,10 +8,13 @@
 import pytest
 import urllib3
 
-from marigoldhoist.components.upstreams.connections import new_pool
+from marigoldhoist.core.http_client import new_pool
+from tests.early_server import run_early_server
 
 HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n'
 RECEIVE_BYTES = 65_536
+UPLOAD = b'x' * 3_000_000
+ROUNDS = 20
 
 
 @contextmanager
@@ -66,3 +69,18 @@
     def test_response_after_an_interim_one_is_read(self) -> None:
         interim = b'HTTP/1.1 100 Continue\r\n\r\n'
         assert body_of(interim + self.FAILURE) == b'fail'
+
+
+class TestUnfinishedUpload:
+    """An answer that ends before the upload is not complete."""
+
+    @pytest.mark.parametrize('resets', [False, True])
+    def test_part_of_an_answer_is_no_answer(self, resets: bool) -> None:
+        with (
+            run_early_server('127.0.0.1', 0, resets=resets) as port,
+            new_pool(max_hosts=1) as pool,
+        ):
+            url = f'http://127.0.0.1:{port}/'
+            for _ in range(ROUNDS):
+                with pytest.raises(urllib3.exceptions.HTTPError):
+                    pool.request('POST', url, body=UPLOAD)
