--- a/marigoldhoist/core/http_client.py
+++ b/marigoldhoist/core/http_client.py
@@ -3,7 +3,7 @@
 `http.client` takes the end of a connection in the middle of a response's head
 for the end of the head, so that a truncated response looks like one with an
 empty body. It parses a head that was cut off and the next response as one head,
-with the status of the first.
+with the status of the first. It takes any status from 100 to 999.
 
 `urllib3` goes on to the response if the request cannot be written, as the
 server may have answered early. The failed write has taken the error of the
@@ -22,6 +22,7 @@
 from marigoldhoist.core.status_lines import STATUS_LINE_START
 
 BLANK_LINES: Final = frozenset((b'\r\n', b'\n'))
+STATUSES: Final = range(100, 600)
 
 
 class _HeadReader:
@@ -65,6 +66,8 @@
         finally:
             if self.fp is not None:
                 self.fp = stream
+        if self.status not in STATUSES:
+            raise http.client.BadStatusLine(str(self.status))
 
 
 class _StrictConnection(HTTPConnection):
--- a/tests/core/test_http_client.py
+++ b/tests/core/test_http_client.py
@@ -84,3 +84,13 @@
             for _ in range(ROUNDS):
                 with pytest.raises(urllib3.exceptions.HTTPError):
                     pool.request('POST', url, body=UPLOAD)
+
+
+class TestStatusOutOfRange:
+    """A status that no response can have is no answer."""
+
+    @pytest.mark.parametrize('status', ['000', '020', '099', '600', '999'])
+    def test_is_rejected(self, status: str) -> None:
+        head = HEAD.replace(b'200', status.encode())
+        with pytest.raises(urllib3.exceptions.ProtocolError):
+            body_of(b'%bContent-Length: 0\r\n\r\n' % head)
--- a/tests/whole/test_cut_uploads.py
+++ b/tests/whole/test_cut_uploads.py
@@ -78,3 +78,17 @@
             address, PORT, read_bytes=read_bytes, resets=resets
         ):
             assert 200 not in statuses_of(world, UPLOAD, address)
+
+
+class TestStatusOutOfRange:
+    """A status that no response can have is no answer."""
+
+    @pytest.mark.parametrize('status', ['000', '020', '099', '600', '999'])
+    def test_caller_gets_no_such_status(
+        self, world: World, status: str
+    ) -> None:
+        address = next_address()
+        with run_early_server(address, PORT, status, resets=False):
+            statuses = statuses_of(world, b'{}', address)
+        assert int(status) not in statuses
+        assert max(statuses) < 600
