--- a/marigoldhoist/core/http_client.py
+++ b/marigoldhoist/core/http_client.py
@@ -83,7 +83,7 @@
         super().request(*arguments, **options)
         self._is_request_cut = False
 
-    def getresponse(self) -> HTTPResponse:
+    def getresponse(self) -> HTTPResponse:  # type: ignore[override]
         """Return the response.
 
         Raise HTTPException if it ends with its connection, although that was
