Show the reserved memory, and let the largest chunked body fit a small room

Cause: room for a chunked body is taken in steps, of which the last may go over the largest body; with `intake.max_bytes` under twice that, a single one was refused. Read in the code; the default has room for it. The refusal of a caller that closes meanwhile raised in the connection's task.

Change: the room is fitted to the largest body, a head and a step. The gauge `input_bytes` shows what is reserved. A connection that closes ends its refusal.

--- a/marigoldhoist/components/gateway/caller.py
+++ b/marigoldhoist/components/gateway/caller.py
@@ -1,6 +1,7 @@
 """Server side of a caller's HTTP connection."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Final, Protocol
 
@@ -97,7 +98,8 @@
         except RefusedRequestError as error:
             if not error.response:
                 emit(CALLER_MALFORMED, reason=error.failure.message)
-            await self.refuse(error)
+            with contextlib.suppress(ConnectionClosedError):
+                await self.refuse(error)
         except Exception as error:
             emit(CALL_HANDLER_FAILED, error=repr(error))
             self.abort()
--- a/marigoldhoist/components/gateway/connection.py
+++ b/marigoldhoist/components/gateway/connection.py
@@ -9,9 +9,7 @@
     ConnectionClosedError,
     MalformedMessageError,
 )
-from marigoldhoist.components.gateway.messages import (
-    Item,
-)
+from marigoldhoist.components.gateway.messages import Item
 from marigoldhoist.components.gateway.parsers import (
     MergedHeadError,
     RequestParser,
--- a/marigoldhoist/components/gateway/connection_input.py
+++ b/marigoldhoist/components/gateway/connection_input.py
@@ -5,9 +5,7 @@
 from typing import Final
 
 from marigoldhoist.components.configuration.models import CallerLimits
-from marigoldhoist.components.gateway.parsers import (
-    RequestParser,
-)
+from marigoldhoist.components.gateway.parsers import RequestParser
 from marigoldhoist.components.intake.pace import InputPace
 from marigoldhoist.components.intake.room import HeldInput, InputRoom
 from marigoldhoist.core.body import Body
@@ -48,7 +46,8 @@
         """Reserve room for an announced body; return False if there is none."""
         self._room.release(self._held)
         self._held.workspace = workspace
-        self._room.fit(limits.max_body_bytes + limits.max_head_bytes)
+        largest_bytes = limits.max_body_bytes + limits.max_head_bytes
+        self._room.fit(largest_bytes + RESERVED_STEP_BYTES)
         return self._try_hold(self._head_bytes + body_bytes)
 
     def try_account(self) -> bool:
--- a/marigoldhoist/components/gateway/incoming.py
+++ b/marigoldhoist/components/gateway/incoming.py
@@ -15,9 +15,7 @@
     Item,
     MessageHead,
 )
-from marigoldhoist.components.gateway.parsers import (
-    RequestParser,
-)
+from marigoldhoist.components.gateway.parsers import RequestParser
 from marigoldhoist.components.gateway.upload_policy import (
     TAKE_ALL_UPLOADS,
     UploadPolicy,
--- a/marigoldhoist/components/gateway/peer_sender.py
+++ b/marigoldhoist/components/gateway/peer_sender.py
@@ -29,9 +29,7 @@
     HEAD,
     ReplicaResponse,
 )
-from marigoldhoist.components.gateway.response_heads import (
-    read_matching_head,
-)
+from marigoldhoist.components.gateway.response_heads import read_matching_head
 from marigoldhoist.components.handover.const import COMPONENT as HANDOVER
 from marigoldhoist.components.handover.models import Handover
 from marigoldhoist.components.handover.service import (
--- a/marigoldhoist/components/gateway/pool.py
+++ b/marigoldhoist/components/gateway/pool.py
@@ -27,9 +27,7 @@
     SEND_QUEUE_UNKNOWN,
 )
 from marigoldhoist.components.gateway.models import Call
-from marigoldhoist.components.gateway.parsers import (
-    ResponseParser,
-)
+from marigoldhoist.components.gateway.parsers import ResponseParser
 from marigoldhoist.core.body import Body
 from marigoldhoist.core.events import emit
 from marigoldhoist.core.verdict import Verdict
--- a/marigoldhoist/components/gateway/sender.py
+++ b/marigoldhoist/components/gateway/sender.py
@@ -35,9 +35,7 @@
     HEAD,
     ReplicaResponse,
 )
-from marigoldhoist.components.gateway.response_heads import (
-    read_matching_head,
-)
+from marigoldhoist.components.gateway.response_heads import read_matching_head
 from marigoldhoist.core.clock import SYSTEM_CLOCK
 from marigoldhoist.core.verdict import Verdict
 
--- a/marigoldhoist/components/gateway/state_gauges.py
+++ b/marigoldhoist/components/gateway/state_gauges.py
@@ -47,6 +47,11 @@
                 'Connections of callers that are open.',
                 self._open_connections,
             ),
+            (
+                'input_bytes',
+                'Memory reserved for the requests of all callers.',
+                self._input_bytes,
+            ),
             (
                 'log_lines_dropped',
                 'Lines of served requests that were not written.',
@@ -69,5 +74,8 @@
     def _open_connections(self) -> float:
         return self._server.open_count
 
+    def _input_bytes(self) -> float:
+        return self._server.room.held_bytes
+
     def _dropped_lines(self) -> float:
         return self._log_limiter.dropped
--- a/marigoldhoist/platform/store.py
+++ b/marigoldhoist/platform/store.py
@@ -33,9 +33,7 @@
     MessageHead,
     request_bytes,
 )
-from marigoldhoist.components.gateway.parsers import (
-    ResponseParser,
-)
+from marigoldhoist.components.gateway.parsers import ResponseParser
 from marigoldhoist.core.const import MS_PER_S
 from marigoldhoist.core.decoding import decode_json, parse_integer
 from marigoldhoist.core.identity import split_address
